Base: Set up the build, the base library and the links between processes

Cause: nothing existed yet. Everything later stands on typed failures, tasks with mailboxes, one timer service, submission ids, checked settings, JSON logs, and typed CBOR messages over WebSocket.

--- /dev/null
+++ b/Source/Wire/Transport.cpp
@@ -0,0 +1,242 @@
+#include "auburnhub/Wire/Transport.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace auburnhub {
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+
+constexpr long OpenTimeoutMs = 2000;
+constexpr long CloseTimeoutMs = 500;
+
+struct Connection {
+  Handle m_Handle;
+  bool m_Incoming;
+};
+
+template <typename EndpointType> void silence(EndpointType &Endpoint) {
+  Endpoint.clear_access_channels(websocketpp::log::alevel::all);
+  Endpoint.clear_error_channels(websocketpp::log::elevel::all);
+}
+
+void disableNagle(boost::asio::ip::tcp::socket &Socket) {
+  boost::system::error_code Ec;
+  Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ec);
+}
+
+} // namespace
+
+class Transport::Impl {
+public:
+  Impl(std::size_t MaxMessageBytes, TransportEvents Events)
+      : m_MaxMessageBytes(MaxMessageBytes), m_Events(std::move(Events)),
+        m_Work(boost::asio::make_work_guard(m_Io)) {
+    setUp(m_Server, true);
+    setUp(m_Client, false);
+    m_Server.set_reuse_addr(true);
+    m_Server.set_open_handler([this](const Handle &H) { opened(H); });
+    m_Thread = std::thread([this] { m_Io.run(); });
+  }
+
+  ~Impl() { stop(); }
+
+  absl::StatusOr<std::uint16_t> listen(const std::string &Host,
+                                       std::uint16_t Port) {
+    websocketpp::lib::error_code Ec;
+    boost::system::error_code AddressEc;
+    auto Ip = boost::asio::ip::make_address(Host, AddressEc);
+    if (AddressEc)
+      return absl::UnavailableError("not an IP number: " + Host);
+    m_Server.listen(boost::asio::ip::tcp::endpoint(Ip, Port), Ec);
+    if (Ec)
+      return absl::UnavailableError("cannot listen on " + Host + ":" +
+                                    std::to_string(Port) + ": " + Ec.message());
+    m_Listening = true;
+    m_Server.start_accept(Ec);
+    boost::system::error_code LocalEc;
+    return m_Server.get_local_endpoint(LocalEc).port();
+  }
+
+  ConnectionId connect(const std::string &Host, std::uint16_t Port) {
+    ConnectionId Id = ++m_LastId;
+    boost::asio::post(m_Io,
+                      [this, Id, Host, Port] { startConnect(Id, Host, Port); });
+    return Id;
+  }
+
+  void send(ConnectionId Id, std::string Bytes) {
+    boost::asio::post(
+        m_Io, [this, Id, Bytes = std::move(Bytes)] { sendNow(Id, Bytes); });
+  }
+
+  void close(ConnectionId Id) {
+    boost::asio::post(m_Io, [this, Id] { closeNow(Id); });
+  }
+
+  void stop() {
+    if (!m_Thread.joinable())
+      return;
+    m_Stopped = true;
+    boost::asio::post(m_Io, [this] { m_Io.stop(); });
+    m_Thread.join();
+    m_Connections.clear();
+  }
+
+  TransportTraffic traffic() const {
+    TransportTraffic Result;
+    Result.m_BytesSent = m_BytesSent;
+    Result.m_BytesReceived = m_BytesReceived;
+    Result.m_MessagesSent = m_MessagesSent;
+    Result.m_MessagesReceived = m_MessagesReceived;
+    return Result;
+  }
+
+private:
+  template <typename EndpointType>
+  void setUp(EndpointType &Endpoint, bool Incoming) {
+    silence(Endpoint);
+    Endpoint.init_asio(&m_Io);
+    Endpoint.set_max_message_size(m_MaxMessageBytes);
+    Endpoint.set_open_handshake_timeout(OpenTimeoutMs);
+    Endpoint.set_close_handshake_timeout(CloseTimeoutMs);
+    Endpoint.set_tcp_post_init_handler([this, Incoming](const Handle &H) {
+      if (Incoming)
+        disableNagle(m_Server.get_con_from_hdl(H)->get_raw_socket());
+      else
+        disableNagle(m_Client.get_con_from_hdl(H)->get_raw_socket());
+    });
+  }
+
+  void startConnect(ConnectionId Id, const std::string &Host,
+                    std::uint16_t Port) {
+    websocketpp::lib::error_code Ec;
+    std::string Uri = "ws://" + Host + ":" + std::to_string(Port) + "/";
+    Client::connection_ptr Con = m_Client.get_connection(Uri, Ec);
+    if (Ec) {
+      m_Events.m_Closed(Id, Ec.message());
+      return;
+    }
+    m_Connections[Id] = {Con->get_handle(), false};
+    Con->set_open_handler(
+        [this, Id](const Handle &) { m_Events.m_Opened(Id, false); });
+    Con->set_fail_handler([this, Id, Raw = Con.get()](const Handle &) {
+      closed(Id, Raw->get_ec().message());
+    });
+    Con->set_close_handler([this, Id, Raw = Con.get()](const Handle &) {
+      closed(Id, Raw->get_ec().message());
+    });
+    Con->set_message_handler(
+        [this, Id](const Handle &, const Client::message_ptr &Msg) {
+          received(Id, Msg->get_payload());
+        });
+    m_Client.connect(Con);
+  }
+
+  void opened(const Handle &H) {
+    ConnectionId Id = ++m_LastId;
+    m_Connections[Id] = {H, true};
+    Server::connection_ptr Con = m_Server.get_con_from_hdl(H);
+    Con->set_close_handler([this, Id, Raw = Con.get()](const Handle &) {
+      closed(Id, Raw->get_ec().message());
+    });
+    Con->set_message_handler(
+        [this, Id](const Handle &, const Server::message_ptr &Msg) {
+          received(Id, Msg->get_payload());
+        });
+    m_Events.m_Opened(Id, true);
+  }
+
+  void received(ConnectionId Id, const std::string &Payload) {
+    m_BytesReceived += Payload.size();
+    ++m_MessagesReceived;
+    m_Events.m_Received(Id, Payload);
+  }
+
+  void closed(ConnectionId Id, const std::string &Reason) {
+    if (m_Connections.erase(Id) != 0 && !m_Stopped)
+      m_Events.m_Closed(Id, Reason);
+  }
+
+  void sendNow(ConnectionId Id, const std::string &Bytes) {
+    auto Found = m_Connections.find(Id);
+    if (Found == m_Connections.end())
+      return;
+    websocketpp::lib::error_code Ec;
+    constexpr auto Binary = websocketpp::frame::opcode::binary;
+    if (Found->second.m_Incoming)
+      m_Server.send(Found->second.m_Handle, Bytes, Binary, Ec);
+    else
+      m_Client.send(Found->second.m_Handle, Bytes, Binary, Ec);
+    if (Ec)
+      return;
+    m_BytesSent += Bytes.size();
+    ++m_MessagesSent;
+  }
+
+  void closeNow(ConnectionId Id) {
+    auto Found = m_Connections.find(Id);
+    if (Found == m_Connections.end())
+      return;
+    websocketpp::lib::error_code Ec;
+    constexpr auto Normal = websocketpp::close::status::normal;
+    if (Found->second.m_Incoming)
+      m_Server.close(Found->second.m_Handle, Normal, "", Ec);
+    else
+      m_Client.close(Found->second.m_Handle, Normal, "", Ec);
+  }
+
+  const std::size_t m_MaxMessageBytes;
+  TransportEvents m_Events;
+  boost::asio::io_context m_Io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      m_Work;
+  Server m_Server;
+  Client m_Client;
+  bool m_Listening = false;
+  std::atomic<bool> m_Stopped{false};
+  std::atomic<ConnectionId> m_LastId{0};
+  /// Used on the transport's thread only.
+  std::map<ConnectionId, Connection> m_Connections;
+  std::atomic<std::uint64_t> m_BytesSent{0};
+  std::atomic<std::uint64_t> m_BytesReceived{0};
+  std::atomic<std::uint64_t> m_MessagesSent{0};
+  std::atomic<std::uint64_t> m_MessagesReceived{0};
+  std::thread m_Thread;
+};
+
+Transport::Transport(std::size_t MaxMessageBytes, TransportEvents Events)
+    : m_Impl(std::make_unique<Impl>(MaxMessageBytes, std::move(Events))) {}
+
+Transport::~Transport() = default;
+
+absl::StatusOr<std::uint16_t> Transport::listen(const std::string &Host,
+                                                std::uint16_t Port) {
+  return m_Impl->listen(Host, Port);
+}
+
+ConnectionId Transport::connect(const std::string &Host, std::uint16_t Port) {
+  return m_Impl->connect(Host, Port);
+}
+
+void Transport::send(ConnectionId Connection, std::string Bytes) {
+  m_Impl->send(Connection, std::move(Bytes));
+}
+
+void Transport::close(ConnectionId Connection) { m_Impl->close(Connection); }
+
+void Transport::stop() { m_Impl->stop(); }
+
+TransportTraffic Transport::traffic() const { return m_Impl->traffic(); }
+
+} // namespace auburnhub
