--- a/Source/Wire/Transport.cpp
+++ b/Source/Wire/Transport.cpp
@@ -5,7 +5,10 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <thread>
 #include <utility>
@@ -19,6 +22,8 @@
 
 constexpr long OpenTimeoutMs = 2000;
 constexpr long CloseTimeoutMs = 500;
+constexpr std::chrono::milliseconds FlushCheckPeriod{5};
+constexpr int FlushChecks = 200;
 
 struct Connection {
   Handle m_Handle;
@@ -88,7 +93,7 @@
     if (!m_Thread.joinable())
       return;
     m_Stopped = true;
-    boost::asio::post(m_Io, [this] { m_Io.stop(); });
+    boost::asio::post(m_Io, [this] { stopWhenFlushed(FlushChecks); });
     m_Thread.join();
     m_Connections.clear();
   }
@@ -118,6 +123,35 @@
     });
   }
 
+  /// Ends the loop once all queued messages are written, or after some checks.
+  void stopWhenFlushed(int ChecksLeft) {
+    if (ChecksLeft == 0 || bufferedBytes() == 0) {
+      m_Io.stop();
+      return;
+    }
+    m_FlushTimer.expires_after(FlushCheckPeriod);
+    m_FlushTimer.async_wait([this, ChecksLeft](boost::system::error_code) {
+      stopWhenFlushed(ChecksLeft - 1);
+    });
+  }
+
+  std::size_t bufferedBytes() {
+    std::size_t Total = 0;
+    for (const auto &[Id, Item] : m_Connections) {
+      websocketpp::lib::error_code Ec;
+      if (Item.m_Incoming) {
+        Server::connection_ptr Con =
+            m_Server.get_con_from_hdl(Item.m_Handle, Ec);
+        Total += Ec ? 0 : Con->get_buffered_amount();
+      } else {
+        Client::connection_ptr Con =
+            m_Client.get_con_from_hdl(Item.m_Handle, Ec);
+        Total += Ec ? 0 : Con->get_buffered_amount();
+      }
+    }
+    return Total;
+  }
+
   void startConnect(ConnectionId Id, const std::string &Host,
                     std::uint16_t Port) {
     websocketpp::lib::error_code Ec;
@@ -201,6 +235,7 @@
   boost::asio::io_context m_Io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       m_Work;
+  boost::asio::steady_timer m_FlushTimer{m_Io};
   Server m_Server;
   Client m_Client;
   bool m_Listening = false;
--- a/include/auburnhub/Wire/Transport.h
+++ b/include/auburnhub/Wire/Transport.h
@@ -59,7 +59,8 @@
   /// Closes one connection.
   void close(ConnectionId Connection);
 
-  /// Closes everything and ends the thread; no event follows.
+  /// Writes what is queued, for a second at most, then closes everything and
+  /// ends the thread; no event follows.
   void stop();
 
   TransportTraffic traffic() const;
