Policy: Add the scheduler that decides when and where a task starts

Queues wait at the dispatcher (late binding) and are fair between teams by start-time fair queueing; run times are learned per kind, long work is capped on each endpoint and has a guaranteed share; endpoints are chosen by least expected completion, ejected when they fail everything and tried with one task. Everything is pure: time and randomness are passed in.

--- /dev/null
+++ b/Source/Policy/FairQueue.cpp
@@ -0,0 +1,102 @@
+#include "auburnhub/Policy/FairQueue.h"
+
+#include <algorithm>
+
+namespace auburnhub {
+
+void FairQueue::setWeight(Team T, double Weight) {
+  TeamQueue &Q = queue(T);
+  if (!Q.m_Items.empty())
+    m_ActiveWeight += Weight - Q.m_Weight;
+  Q.m_Weight = Weight;
+}
+
+FairQueue::Handle FairQueue::push(Team T, TaskKey Key, double Cost) {
+  TeamQueue &Q = queue(T);
+  Q.m_Items.push_back({Key, Cost});
+  Q.m_CostMs += Cost;
+  m_CostMs += Cost;
+  ++m_Size;
+  if (Q.m_Items.size() == 1)
+    activate(T, Q);
+  return {T, std::prev(Q.m_Items.end())};
+}
+
+FairQueue::Handle FairQueue::pushFront(Team T, TaskKey Key, double Cost) {
+  TeamQueue &Q = queue(T);
+  Q.m_Items.push_front({Key, Cost});
+  Q.m_CostMs += Cost;
+  m_CostMs += Cost;
+  ++m_Size;
+  if (Q.m_Items.size() == 1)
+    activate(T, Q);
+  return {T, Q.m_Items.begin()};
+}
+
+void FairQueue::erase(const Handle &H) {
+  TeamQueue &Q = m_Teams[H.m_Team];
+  Q.m_CostMs -= H.m_It->m_Cost;
+  m_CostMs -= H.m_It->m_Cost;
+  --m_Size;
+  Q.m_Items.erase(H.m_It);
+  if (Q.m_Items.empty())
+    deactivate(H.m_Team, Q);
+  if (m_Size == 0)
+    m_CostMs = 0;
+}
+
+void FairQueue::take(const Handle &H) {
+  TeamQueue &Q = m_Teams[H.m_Team];
+  double Start = Q.m_StartTag;
+  Q.m_FinishTag = Start + H.m_It->m_Cost / Q.m_Weight;
+  m_VirtualTime = std::max(m_VirtualTime, Start);
+  m_Active.erase({Start, H.m_Team});
+  Q.m_StartTag = Q.m_FinishTag;
+  m_Active.emplace(Q.m_StartTag, H.m_Team);
+  erase(H);
+}
+
+double FairQueue::costMs(Team T) const {
+  return T < m_Teams.size() ? m_Teams[T].m_CostMs : 0;
+}
+
+double FairQueue::share(Team T) const {
+  double Own = T < m_Teams.size() ? m_Teams[T].m_Weight : 1;
+  bool Active = T < m_Teams.size() && !m_Teams[T].m_Items.empty();
+  double All = Active ? m_ActiveWeight : m_ActiveWeight + Own;
+  return Own / All;
+}
+
+std::vector<TaskKey> FairQueue::heads(std::size_t Limit) const {
+  std::vector<TaskKey> Keys;
+  for (const auto &[Tag, T] : m_Active) {
+    if (Keys.size() == Limit)
+      break;
+    Keys.push_back(m_Teams[T].m_Items.front().m_Key);
+  }
+  return Keys;
+}
+
+TaskKey FairQueue::front() const {
+  return m_Teams[m_Active.begin()->second].m_Items.front().m_Key;
+}
+
+FairQueue::TeamQueue &FairQueue::queue(Team T) {
+  if (T >= m_Teams.size())
+    m_Teams.resize(T + 1);
+  return m_Teams[T];
+}
+
+void FairQueue::activate(Team T, TeamQueue &Q) {
+  Q.m_StartTag = std::max(m_VirtualTime, Q.m_FinishTag);
+  m_Active.emplace(Q.m_StartTag, T);
+  m_ActiveWeight += Q.m_Weight;
+}
+
+void FairQueue::deactivate(Team T, TeamQueue &Q) {
+  m_Active.erase({Q.m_StartTag, T});
+  Q.m_CostMs = 0;
+  m_ActiveWeight = m_Active.empty() ? 0 : m_ActiveWeight - Q.m_Weight;
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Policy/PolicyParameters.cpp
@@ -0,0 +1,78 @@
+#include "auburnhub/Policy/PolicyParameters.h"
+
+#include "auburnhub/Base/Failure.h"
+
+#include <limits>
+#include <string>
+#include <string_view>
+
+namespace auburnhub {
+namespace {
+
+constexpr double Unbounded = std::numeric_limits<double>::max();
+constexpr double MaxDurationMs = 24.0 * 3600 * 1000;
+constexpr double MaxFactor = 1000;
+
+struct Range {
+  std::string_view m_Name;
+  double m_Value;
+  double m_Least;
+  double m_Most;
+};
+
+std::string text(double Value) {
+  std::string Out = std::to_string(Value);
+  Out.erase(Out.find_last_not_of('0') + 1);
+  if (Out.back() == '.')
+    Out.pop_back();
+  return Out;
+}
+
+absl::Status check(const Range &R) {
+  // A NaN fails the comparison.
+  if (R.m_Value >= R.m_Least && R.m_Value <= R.m_Most)
+    return absl::OkStatus();
+  std::string Detail = "policy." + std::string(R.m_Name) + " is " +
+                       text(R.m_Value) + "; expected at least " +
+                       text(R.m_Least);
+  if (R.m_Most != Unbounded)
+    Detail += " and at most " + text(R.m_Most);
+  return makeFailure(FailureCode::BadSettings, Detail);
+}
+
+} // namespace
+
+absl::Status PolicyParameters::validate() const {
+  const Range Ranges[] = {
+      {"run_time_half_life_ms", m_RunTimeHalfLifeMs, 1, MaxDurationMs},
+      {"estimate_max_age_ms", m_EstimateMaxAgeMs, 0, MaxDurationMs},
+      {"min_samples", m_MinSamples, 1, MaxFactor},
+      {"max_kinds", static_cast<double>(m_MaxKinds), 0, 100000},
+      {"short_quantile", m_ShortQuantile, 0.01, 0.99},
+      {"long_factor", m_LongFactor, 1, MaxFactor},
+      {"min_short_limit_ms", m_MinShortLimitMs, 1, MaxDurationMs},
+      {"long_share", m_LongShare, 0.01, 1},
+      {"long_guaranteed_share", m_LongGuaranteedShare, 0, m_LongShare},
+      {"max_queue_ms", m_MaxQueueMs, 1, MaxDurationMs},
+      {"min_retry_after_ms", m_MinRetryAfterMs, 1, MaxDurationMs},
+      {"retry_after_spread", m_RetryAfterSpread, 0.01, MaxFactor},
+      {"speed_smoothing", m_SpeedSmoothing, 0.001, 1},
+      {"load_weight", m_LoadWeight, 0, MaxFactor},
+      {"slow_start_ms", m_SlowStartMs, 0, MaxDurationMs},
+      {"refusal_pause_ms", m_RefusalPauseMs, 0, MaxDurationMs},
+      {"eject_after_failures", static_cast<double>(m_EjectAfterFailures), 1,
+       MaxFactor},
+      {"min_ejection_ms", m_MinEjectionMs, 1, MaxDurationMs},
+      {"max_ejection_ms", m_MaxEjectionMs, m_MinEjectionMs, MaxDurationMs},
+      {"max_ejected_share", m_MaxEjectedShare, 0, 1},
+      {"retry_ratio", m_RetryRatio, 0, 1},
+      {"retry_reserve", m_RetryReserve, 0, Unbounded},
+      {"max_losses", static_cast<double>(m_MaxLosses), 1, MaxFactor},
+  };
+  for (const Range &R : Ranges)
+    if (absl::Status Status = check(R); !Status.ok())
+      return Status;
+  return absl::OkStatus();
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Policy/RunTimeModel.cpp
@@ -0,0 +1,64 @@
+#include "auburnhub/Policy/RunTimeModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnhub {
+namespace {
+
+constexpr unsigned Bins = 96;
+constexpr double LeastMs = 0.1;
+constexpr double MostMs = 1e6;
+
+/// Weights are brought up to date in steps of this part of the half-life.
+constexpr double DecayStep = 1.0 / 16;
+
+} // namespace
+
+RunTimeModel::RunTimeModel(double HalfLifeMs, TimePoint Now)
+    : m_HalfLifeMs(HalfLifeMs), m_DecayedAt(Now),
+      m_Histogram(boost::histogram::make_histogram_with(
+          boost::histogram::dense_storage<double>(),
+          Axis(Bins, LeastMs, MostMs))) {}
+
+void RunTimeModel::record(TimePoint Now, double RunTimeMs) {
+  decay(Now);
+  double Bounded = std::clamp(RunTimeMs, LeastMs, MostMs);
+  m_Histogram(Bounded);
+  m_Weight += 1;
+  m_SumMs += Bounded;
+}
+
+void RunTimeModel::decay(TimePoint Now) {
+  double HalfLives = millisecondsBetween(m_DecayedAt, Now) / m_HalfLifeMs;
+  if (HalfLives < DecayStep)
+    return;
+  double Factor = std::exp2(-HalfLives);
+  m_Histogram *= Factor;
+  m_Weight *= Factor;
+  m_SumMs *= Factor;
+  m_DecayedAt = Now;
+}
+
+double RunTimeModel::meanMs() const {
+  return m_Weight > 0 ? m_SumMs / m_Weight : 0;
+}
+
+double RunTimeModel::quantileMs(double Quantile) const {
+  if (m_Weight <= 0)
+    return 0;
+  const Axis &Bounds = m_Histogram.axis();
+  double Wanted = Quantile * m_Weight;
+  double Below = 0;
+  for (int I = 0; I <= static_cast<int>(Bins); ++I) {
+    double Count = m_Histogram.at(I);
+    if (Count > 0 && Below + Count >= Wanted) {
+      double Part = std::max(0.0, (Wanted - Below) / Count);
+      return I < static_cast<int>(Bins) ? Bounds.value(I + Part) : MostMs;
+    }
+    Below += Count;
+  }
+  return MostMs;
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Policy/WorkModel.cpp
@@ -0,0 +1,120 @@
+#include "auburnhub/Policy/WorkModel.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace auburnhub {
+namespace {
+
+constexpr double MedianQuantile = 0.5;
+
+/// Estimates are computed anew after this many run times of a kind, or at
+/// once while it has few.
+constexpr int RefreshEvery = 16;
+
+/// An estimate that nobody refreshed for this part of the half-life is stale.
+constexpr double RefreshPart = 1.0 / 8;
+
+/// A kind whose weight has fallen below this is forgotten.
+constexpr double LeastWeight = 0.05;
+
+} // namespace
+
+WorkModel::WorkModel(const PolicyParameters &Parameters, TimePoint Now)
+    : m_Parameters(Parameters),
+      m_All{RunTimeModel(Parameters.m_RunTimeHalfLifeMs, Now), {}, 0, Now, Now},
+      m_ShortLimitMs(std::numeric_limits<double>::infinity()) {}
+
+void WorkModel::setParameters(const PolicyParameters &Parameters) {
+  m_Parameters = Parameters;
+  m_All.m_Model.setHalfLife(Parameters.m_RunTimeHalfLifeMs);
+  for (auto &[Kind, E] : m_Kinds)
+    E.m_Model.setHalfLife(Parameters.m_RunTimeHalfLifeMs);
+  computeLimit();
+}
+
+void WorkModel::record(TimePoint Now, std::string_view Kind, double RunTimeMs) {
+  add(Now, m_All, RunTimeMs);
+  if (m_All.m_Unseen == 0)
+    computeLimit();
+  if (Entry *E = findOrAdd(Now, Kind))
+    add(Now, *E, RunTimeMs);
+}
+
+void WorkModel::recordOutlived(TimePoint Now, std::string_view Kind,
+                               double SoFarMs) {
+  if (Entry *E = findOrAdd(Now, Kind)) {
+    E->m_Model.record(Now, SoFarMs);
+    E->m_RecordedAt = Now;
+    refresh(Now, *E);
+  }
+}
+
+WorkEstimate WorkModel::estimate(TimePoint Now, std::string_view Kind) {
+  Entry *E = find(Kind);
+  if (!E)
+    E = &m_All;
+  double AgeMs = millisecondsBetween(E->m_RefreshedAt, Now);
+  if (AgeMs > m_Parameters.m_RunTimeHalfLifeMs * RefreshPart)
+    refresh(Now, *E);
+  WorkEstimate Estimate = E->m_Estimate;
+  bool LongKind = E != &m_All && Estimate.m_MedianMs > m_ShortLimitMs;
+  Estimate.m_Class = LongKind ? TaskClass::Long : TaskClass::Short;
+  double SilentMs = millisecondsBetween(E->m_RecordedAt, Now);
+  if (E != &m_All && SilentMs <= m_Parameters.m_EstimateMaxAgeMs)
+    Estimate.m_RecentMedianMs = Estimate.m_MedianMs;
+  return Estimate;
+}
+
+void WorkModel::forgetStale(TimePoint Now) {
+  for (auto It = m_Kinds.begin(); It != m_Kinds.end();) {
+    It->second.m_Model.decay(Now);
+    bool Stale = It->second.m_Model.weight() < LeastWeight;
+    It = Stale ? m_Kinds.erase(It) : std::next(It);
+  }
+}
+
+WorkModel::Entry *WorkModel::find(std::string_view Kind) {
+  auto It = m_Kinds.find(std::string(Kind));
+  return It == m_Kinds.end() ? nullptr : &It->second;
+}
+
+WorkModel::Entry *WorkModel::findOrAdd(TimePoint Now, std::string_view Kind) {
+  if (Entry *E = find(Kind))
+    return E;
+  if (m_Kinds.size() >= static_cast<std::size_t>(m_Parameters.m_MaxKinds))
+    return nullptr;
+  Entry Fresh{
+      RunTimeModel(m_Parameters.m_RunTimeHalfLifeMs, Now), {}, 0, Now, Now};
+  return &m_Kinds.emplace(std::string(Kind), std::move(Fresh)).first->second;
+}
+
+void WorkModel::add(TimePoint Now, Entry &E, double RunTimeMs) {
+  E.m_Model.record(Now, RunTimeMs);
+  E.m_RecordedAt = Now;
+  bool Few = E.m_Model.weight() < 2 * RefreshEvery;
+  if (++E.m_Unseen >= RefreshEvery || Few)
+    refresh(Now, E);
+}
+
+void WorkModel::refresh(TimePoint Now, Entry &E) const {
+  E.m_Model.decay(Now);
+  E.m_Unseen = 0;
+  E.m_RefreshedAt = Now;
+  E.m_Estimate = WorkEstimate();
+  E.m_Estimate.m_MeanMs = E.m_Model.meanMs();
+  if (E.m_Model.weight() < m_Parameters.m_MinSamples)
+    return;
+  E.m_Estimate.m_MedianMs = E.m_Model.quantileMs(MedianQuantile);
+}
+
+void WorkModel::computeLimit() {
+  m_ShortLimitMs = std::numeric_limits<double>::infinity();
+  if (m_All.m_Model.weight() < m_Parameters.m_MinSamples)
+    return;
+  double Low = m_All.m_Model.quantileMs(m_Parameters.m_ShortQuantile);
+  m_ShortLimitMs =
+      std::max(m_Parameters.m_MinShortLimitMs, Low * m_Parameters.m_LongFactor);
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/include/auburnhub/Policy/PolicyParameters.h
@@ -0,0 +1,79 @@
+#ifndef AUBURNHUB_POLICY_POLICYPARAMETERS_H
+#define AUBURNHUB_POLICY_POLICYPARAMETERS_H
+
+#include "absl/status/status.h"
+
+namespace auburnhub {
+
+/// The parameters of the decision policy; docs/POLICY.md explains each. They
+/// are the `policy` section of the configuration.
+struct PolicyParameters {
+  // Learned run times.
+  double m_RunTimeHalfLifeMs = 60000;
+  double m_EstimateMaxAgeMs = 2000;
+  double m_MinSamples = 3;
+  int m_MaxKinds = 1000;
+
+  // Short and long work.
+  double m_ShortQuantile = 0.25;
+  double m_LongFactor = 10;
+  double m_MinShortLimitMs = 100;
+  double m_LongShare = 0.75;
+  double m_LongGuaranteedShare = 0.1;
+
+  // Admission.
+  double m_MaxQueueMs = 10000;
+  double m_MinRetryAfterMs = 500;
+  double m_RetryAfterSpread = 1.0;
+
+  // Speed of endpoints.
+  double m_SpeedSmoothing = 0.1;
+  double m_LoadWeight = 0.1;
+  double m_SlowStartMs = 2000;
+  double m_RefusalPauseMs = 20;
+
+  // Health of endpoints.
+  int m_EjectAfterFailures = 5;
+  double m_MinEjectionMs = 1000;
+  double m_MaxEjectionMs = 60000;
+  double m_MaxEjectedShare = 0.3;
+
+  // Retries.
+  double m_RetryRatio = 0.1;
+  double m_RetryReserve = 10;
+  int m_MaxLosses = 3;
+
+  template <typename Visitor> void fields(Visitor &V) {
+    V("run_time_half_life_ms", m_RunTimeHalfLifeMs);
+    V("estimate_max_age_ms", m_EstimateMaxAgeMs);
+    V("min_samples", m_MinSamples);
+    V("max_kinds", m_MaxKinds);
+    V("short_quantile", m_ShortQuantile);
+    V("long_factor", m_LongFactor);
+    V("min_short_limit_ms", m_MinShortLimitMs);
+    V("long_share", m_LongShare);
+    V("long_guaranteed_share", m_LongGuaranteedShare);
+    V("max_queue_ms", m_MaxQueueMs);
+    V("min_retry_after_ms", m_MinRetryAfterMs);
+    V("retry_after_spread", m_RetryAfterSpread);
+    V("speed_smoothing", m_SpeedSmoothing);
+    V("load_weight", m_LoadWeight);
+    V("slow_start_ms", m_SlowStartMs);
+    V("refusal_pause_ms", m_RefusalPauseMs);
+    V("eject_after_failures", m_EjectAfterFailures);
+    V("min_ejection_ms", m_MinEjectionMs);
+    V("max_ejection_ms", m_MaxEjectionMs);
+    V("max_ejected_share", m_MaxEjectedShare);
+    V("retry_ratio", m_RetryRatio);
+    V("retry_reserve", m_RetryReserve);
+    V("max_losses", m_MaxLosses);
+  }
+
+  /// Checks every parameter's range. Fails with BadSettings, naming the
+  /// parameter and the range.
+  absl::Status validate() const;
+};
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -0,0 +1,483 @@
+#ifndef AUBURNHUB_POLICY_SCHEDULERTASKSIMPL_H
+#define AUBURNHUB_POLICY_SCHEDULERTASKSIMPL_H
+
+#include "auburnhub/Policy/Scheduler.h"
+
+/// \file
+/// Scheduler: the life of a task.
+
+namespace auburnhub {
+namespace detail {
+
+/// The run time that is assumed, in milliseconds, while nothing is learned.
+inline constexpr double UnlearnedMs = 1;
+
+inline double costMs(const WorkEstimate &Estimate) {
+  return Estimate.m_MeanMs > 0 ? Estimate.m_MeanMs : UnlearnedMs;
+}
+
+} // namespace detail
+
+template <PlacementPolicy Placement>
+template <std::uniform_random_bit_generator Rng>
+Admission Scheduler<Placement>::admit(TimePoint Now,
+                                      std::span<const QueuedTask> Tasks,
+                                      Rng &Random) {
+  m_Now = Now;
+  Admission Result;
+  std::size_t Done = 0;
+  for (; Done < Tasks.size(); ++Done) {
+    const QueuedTask &Request = Tasks[Done];
+    Result.m_Status = checkRequest(Now, Request);
+    if (Result.ok())
+      Result.m_Status = checkWait(Now, Request, Result.m_ExpectedWaitMs);
+    if (!Result.ok())
+      break;
+    Task &T = m_Tasks[Request.m_Key];
+    T.m_Request = Request;
+    T.m_Service = m_ServiceIndex.find(Request.m_Service)->second;
+    T.m_Team = m_TeamIndex.find(Request.m_Team)->second;
+    enqueue(Now, T, false);
+  }
+  if (Result.ok())
+    return Result;
+  for (std::size_t I = 0; I < Done; ++I)
+    cancel(Tasks[I].m_Key);
+  FailureCode Code = failureCode(Result.m_Status);
+  if (Code == FailureCode::Overloaded || Code == FailureCode::QuotaExceeded)
+    Result.m_RetryAfterMs =
+        retryAfterMs(m_Parameters, Result.m_ExpectedWaitMs, Random);
+  return Result;
+}
+
+/// Checks what does not depend on the load.
+template <PlacementPolicy Placement>
+absl::Status
+Scheduler<Placement>::checkRequest(TimePoint Now,
+                                   const QueuedTask &Request) const {
+  if (m_Tasks.contains(Request.m_Key))
+    return makeFailure(FailureCode::BadRequest, "the task's key is in use");
+  auto Found = m_TeamIndex.find(Request.m_Team);
+  if (Found == m_TeamIndex.end() || !m_Teams[Found->second].m_Known)
+    return makeFailure(FailureCode::UnknownTeam,
+                       "no team " + Request.m_Team + " is configured");
+  const Service *S = findService(Request.m_Service);
+  if (!S || S->m_Endpoints.empty())
+    return makeFailure(FailureCode::NoEndpoint,
+                       "service " + Request.m_Service + " has no endpoint");
+  if (Request.m_Deadline <= Now)
+    return makeFailure(FailureCode::Timeout, "the deadline has passed");
+  const Team &T = m_Teams[Found->second];
+  if (T.m_Queued >= T.m_Spec.m_MaxQueued)
+    return makeFailure(FailureCode::QuotaExceeded,
+                       "team " + Request.m_Team + " has " +
+                           std::to_string(T.m_Queued) + " tasks queued");
+  return absl::OkStatus();
+}
+
+/// Checks that the task is expected to end before its deadline.
+template <PlacementPolicy Placement>
+absl::Status Scheduler<Placement>::checkWait(TimePoint Now,
+                                             const QueuedTask &Request,
+                                             double &WaitMs) {
+  Service &S = service(Request.m_Service);
+  WorkEstimate Estimate = S.m_Work.estimate(Now, Request.m_Kind);
+  double LeftMs = millisecondsBetween(Now, Request.m_Deadline);
+  if (Estimate.m_RecentMedianMs > LeftMs)
+    return makeFailure(FailureCode::Timeout,
+                       "the timeout is shorter than the median run time of "
+                       "this kind of work");
+  WaitMs = 0;
+  const FairQueue &Q = S.queue(Estimate.m_Class);
+  if (Q.empty())
+    return absl::OkStatus();
+  FairQueue::Team T = m_TeamIndex.find(Request.m_Team)->second;
+  WaitMs = S.expectedWaitMs(Estimate.m_Class, T, m_Parameters);
+  if (WaitMs + Estimate.m_RecentMedianMs > LeftMs)
+    return makeFailure(FailureCode::Overloaded,
+                       "the queue is longer than the timeout allows");
+  if (WaitMs > m_Parameters.m_MaxQueueMs)
+    return makeFailure(FailureCode::Overloaded, "the queue is full");
+  return absl::OkStatus();
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::enqueue(TimePoint Now, Task &T, bool Front) {
+  Service &S = m_Services[T.m_Service];
+  WorkEstimate Estimate = S.m_Work.estimate(Now, T.m_Request.m_Kind);
+  double Cost = detail::costMs(Estimate);
+  TaskKey Key = T.m_Request.m_Key;
+  T.m_Phase = Phase::Queued;
+  T.m_Class = Estimate.m_Class;
+  T.m_QueuedAt = Now;
+  T.m_LatestStart = addMs(T.m_Request.m_Deadline, -Estimate.m_RecentMedianMs);
+  T.m_Attempt = ++m_Attempts;
+  FairQueue &Q = S.queue(T.m_Class);
+  T.m_Handle =
+      Front ? Q.pushFront(T.m_Team, Key, Cost) : Q.push(T.m_Team, Key, Cost);
+  ++m_Teams[T.m_Team].m_Queued;
+  ++m_Queued;
+  m_Expiries.push(T.m_LatestStart, {Key, T.m_Attempt});
+}
+
+/// Removes a task from its queue without charging its team.
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::dequeue(Task &T) {
+  m_Services[T.m_Service].queue(T.m_Class).erase(T.m_Handle);
+  --m_Teams[T.m_Team].m_Queued;
+  --m_Queued;
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::setLate(Task &T) {
+  dequeue(T);
+  T.m_Phase = Phase::Late;
+  m_Late.push_back(T.m_Request.m_Key);
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::erase(TaskKey Key) {
+  m_Tasks.erase(Key);
+  m_Poison.forget(Key);
+}
+
+template <PlacementPolicy Placement>
+CancelResult Scheduler<Placement>::cancel(TaskKey Key) {
+  auto It = m_Tasks.find(Key);
+  if (It == m_Tasks.end())
+    return CancelResult::Unknown;
+  switch (It->second.m_Phase) {
+  case Phase::Running:
+    return CancelResult::Running;
+  case Phase::Ended:
+    erase(Key);
+    return CancelResult::Unknown;
+  case Phase::Queued:
+    dequeue(It->second);
+    [[fallthrough]];
+  case Phase::Late:
+    erase(Key);
+    return CancelResult::Removed;
+  }
+  return CancelResult::Unknown;
+}
+
+template <PlacementPolicy Placement>
+std::vector<TaskKey> Scheduler<Placement>::expire(TimePoint Now) {
+  while (std::optional<Attempt> Due = m_Expiries.popDue(Now)) {
+    auto It = m_Tasks.find(Due->m_Key);
+    if (It == m_Tasks.end() || It->second.m_Phase != Phase::Queued ||
+        It->second.m_Attempt != Due->m_Attempt)
+      continue;
+    setLate(It->second);
+  }
+  std::vector<TaskKey> Expired;
+  for (TaskKey Key : std::exchange(m_Late, {})) {
+    auto It = m_Tasks.find(Key);
+    if (It == m_Tasks.end() || It->second.m_Phase != Phase::Late)
+      continue;
+    erase(Key);
+    Expired.push_back(Key);
+  }
+  return Expired;
+}
+
+template <PlacementPolicy Placement>
+typename Scheduler<Placement>::Task *
+Scheduler<Placement>::findRunning(TaskKey Key) {
+  auto It = m_Tasks.find(Key);
+  if (It == m_Tasks.end() || It->second.m_Phase != Phase::Running)
+    return nullptr;
+  return &It->second;
+}
+
+template <PlacementPolicy Placement>
+bool Scheduler<Placement>::finished(TimePoint Now, TaskKey Key,
+                                    TaskResult Result) {
+  Task *T = findRunning(Key);
+  if (!T)
+    return false;
+  m_Now = Now;
+  Service &S = m_Services[T->m_Service];
+  learn(Now, *T, Result);
+  noteHealth(T->m_Endpoint, m_Endpoints[T->m_Endpoint]->m_Record.finish(
+                                Now, Key, T->m_Class, Result,
+                                S.mayEject(m_Parameters), m_Parameters));
+  --m_Running;
+  --S.m_Running;
+  S.m_RunningLong -= T->m_Class == TaskClass::Long;
+  review(Now, T->m_Endpoint);
+  T->m_Phase = Phase::Ended;
+  T->m_Result = Result;
+  if (Result == TaskResult::Lost)
+    m_Poison.lost(Key);
+  if (Result == TaskResult::Ok || Result == TaskResult::Cancelled)
+    erase(Key);
+  else
+    m_Forgettings.push(std::max(T->m_Request.m_Deadline, Now),
+                       {Key, T->m_Attempt});
+  return true;
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::learn(TimePoint Now, const Task &T,
+                                 TaskResult Result) {
+  WorkModel &Work = m_Services[T.m_Service].m_Work;
+  double RunMs = millisecondsBetween(T.m_StartedAt, Now);
+  double MedianMs = Work.estimate(Now, T.m_Request.m_Kind).m_MedianMs;
+  if (Result == TaskResult::Ok) {
+    m_Endpoints[T.m_Endpoint]->m_Record.estimate().record(
+        RunMs, MedianMs, m_Parameters.m_SpeedSmoothing);
+    Work.record(Now, T.m_Request.m_Kind, RunMs);
+  }
+  // A task that was cut off after more than the median would have run longer.
+  if (Result == TaskResult::Cancelled && MedianMs > 0 && RunMs > MedianMs)
+    Work.recordOutlived(Now, T.m_Request.m_Kind, RunMs);
+}
+
+template <PlacementPolicy Placement>
+absl::Status Scheduler<Placement>::requeue(TimePoint Now, TaskKey Key) {
+  auto It = m_Tasks.find(Key);
+  if (It == m_Tasks.end() || It->second.m_Phase != Phase::Ended)
+    return makeFailure(FailureCode::UnknownSubmission,
+                       "the task has not ended, or is forgotten");
+  Task &T = It->second;
+  Service &S = m_Services[T.m_Service];
+  absl::Status Status;
+  if (!m_Poison.mayRun(Key, m_Parameters.m_MaxLosses))
+    Status = makeFailure(FailureCode::TaskFailed,
+                         "the task was lost with its endpoint too often");
+  else if (T.m_Request.m_Deadline <= Now)
+    Status = makeFailure(FailureCode::Timeout, "the deadline has passed");
+  else if (T.m_Result != TaskResult::RefusedNotStarted &&
+           !S.m_Retries.tryWithdraw())
+    Status = makeFailure(FailureCode::Overloaded, "the retry budget is spent");
+  if (!Status.ok()) {
+    erase(Key);
+    return Status;
+  }
+  T.m_Repeated = true;
+  enqueue(Now, T, true);
+  return Status;
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::forget(TaskKey Key) {
+  auto It = m_Tasks.find(Key);
+  if (It != m_Tasks.end() && It->second.m_Phase == Phase::Ended)
+    erase(Key);
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::tick(TimePoint Now) {
+  m_Now = Now;
+  while (std::optional<Attempt> Due = m_Demotions.popDue(Now))
+    demote(Now, *Due);
+  while (std::optional<std::size_t> Index = m_Reviews.popDue(Now))
+    review(Now, *Index);
+  while (std::optional<Attempt> Due = m_Forgettings.popDue(Now)) {
+    auto It = m_Tasks.find(Due->m_Key);
+    if (It != m_Tasks.end() && It->second.m_Attempt == Due->m_Attempt)
+      forget(Due->m_Key);
+  }
+  forgetStaleWork(Now);
+}
+
+template <PlacementPolicy Placement>
+std::optional<TimePoint> Scheduler<Placement>::nextEvent() const {
+  std::optional<TimePoint> Next;
+  for (std::optional<TimePoint> At : {m_Demotions.next(), m_Reviews.next(),
+                                      m_Forgettings.next(), m_Expiries.next()})
+    if (At && (!Next || *At < *Next))
+      Next = At;
+  return Next;
+}
+
+/// Comes back to a short task when it reaches the short limit; while no limit
+/// is learned, after the least one.
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::scheduleDemotion(TimePoint Now, const Task &T) {
+  double LimitMs = m_Services[T.m_Service].m_Work.shortLimitMs();
+  TimePoint At = std::isfinite(LimitMs)
+                     ? addMs(T.m_StartedAt, LimitMs)
+                     : addMs(Now, m_Parameters.m_MinShortLimitMs);
+  constexpr auto LeastStep = std::chrono::milliseconds(1);
+  m_Demotions.push(std::max(At, Now + LeastStep),
+                   {T.m_Request.m_Key, T.m_Attempt});
+}
+
+/// Drops kinds of work that have not been seen for long.
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::forgetStaleWork(TimePoint Now) {
+  double SinceMs = millisecondsBetween(m_StaleCheckedAt, Now);
+  if (SinceMs < m_Parameters.m_RunTimeHalfLifeMs)
+    return;
+  m_StaleCheckedAt = Now;
+  for (Service &S : m_Services)
+    S.m_Work.forgetStale(Now);
+}
+
+/// Counts a running task as long once it has outlived the short class.
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::demote(TimePoint Now, const Attempt &Of) {
+  Task *T = findRunning(Of.m_Key);
+  if (!T || T->m_Attempt != Of.m_Attempt || T->m_Class == TaskClass::Long)
+    return;
+  Service &S = m_Services[T->m_Service];
+  double RunMs = millisecondsBetween(T->m_StartedAt, Now);
+  if (RunMs < S.m_Work.shortLimitMs()) {
+    scheduleDemotion(Now, *T);
+    return;
+  }
+  T->m_Class = TaskClass::Long;
+  ++S.m_RunningLong;
+  S.m_Work.recordOutlived(Now, T->m_Request.m_Kind, RunMs);
+  EndpointRecord &Record = m_Endpoints[T->m_Endpoint]->m_Record;
+  Record.demote();
+  reindex(Now, T->m_Endpoint);
+  noteEvent(PolicyEventKind::Demoted, Record.address(), Of.m_Key);
+}
+
+template <PlacementPolicy Placement>
+template <std::uniform_random_bit_generator Rng>
+void Scheduler<Placement>::nextPlacements(TimePoint Now, Rng &Random,
+                                          std::vector<PlacementDecision> &Out) {
+  tick(Now);
+  for (Service &S : m_Services)
+    while (placeOne(Now, S, Random, Out)) {
+    }
+}
+
+template <PlacementPolicy Placement>
+template <typename Rng>
+bool Scheduler<Placement>::placeOne(TimePoint Now, Service &S, Rng &Random,
+                                    std::vector<PlacementDecision> &Out) {
+  bool LongFirst = S.longComesFirst(m_Parameters);
+  TaskClass First = LongFirst ? TaskClass::Long : TaskClass::Short;
+  TaskClass Second = LongFirst ? TaskClass::Short : TaskClass::Long;
+  std::size_t Before = Out.size();
+  bool Placed = placeOf(Now, S, First, Random, Out) ||
+                placeOf(Now, S, Second, Random, Out);
+  if (LongFirst && Out.size() > Before &&
+      Out.back().m_Class == TaskClass::Long &&
+      Out.back().m_Reason == PlacementReason::Policy)
+    Out.back().m_Reason = PlacementReason::GuaranteedLong;
+  return Placed;
+}
+
+/// Starts one task of a class, or moves tasks that do not belong in its queue.
+/// Returns false when nothing of the class can start.
+template <PlacementPolicy Placement>
+template <typename Rng>
+bool Scheduler<Placement>::placeOf(TimePoint Now, Service &S, TaskClass Class,
+                                   Rng &Random,
+                                   std::vector<PlacementDecision> &Out) {
+  FairQueue &Q = S.queue(Class);
+  if (Q.empty() || S.free(Class).size() == 0)
+    return false;
+  Task &First = m_Tasks.find(Q.front())->second;
+  if (leavesQueue(Now, S, First) || tryStart(Now, S, First, Random, Out))
+    return true;
+  for (TaskKey Key : Q.heads(HeadsTried)) {
+    Task &T = m_Tasks.find(Key)->second;
+    if (leavesQueue(Now, S, T) || tryStart(Now, S, T, Random, Out))
+      return true;
+  }
+  return false;
+}
+
+/// Removes a task that is too late, or moves one whose kind has turned out to
+/// be of the other class. Returns whether it did.
+template <PlacementPolicy Placement>
+bool Scheduler<Placement>::leavesQueue(TimePoint Now, Service &S, Task &T) {
+  if (T.m_LatestStart <= Now) {
+    setLate(T);
+    return true;
+  }
+  WorkEstimate Estimate = S.m_Work.estimate(Now, T.m_Request.m_Kind);
+  if (Estimate.m_Class == T.m_Class)
+    return false;
+  S.queue(T.m_Class).erase(T.m_Handle);
+  T.m_Class = Estimate.m_Class;
+  T.m_Handle = S.queue(T.m_Class).push(T.m_Team, T.m_Request.m_Key,
+                                       detail::costMs(Estimate));
+  return true;
+}
+
+/// Returns whether a task should not run on an endpoint because another one of
+/// the service can run it.
+template <PlacementPolicy Placement>
+bool Scheduler<Placement>::avoids(const Service &S, const Task &T,
+                                  std::size_t Index) const {
+  const std::vector<std::string> &Excluded = T.m_Request.m_Excluded;
+  if (Excluded.empty() || Excluded.size() >= S.m_Usable)
+    return false;
+  const std::string &Address = m_Endpoints[Index]->m_Record.address();
+  return std::find(Excluded.begin(), Excluded.end(), Address) != Excluded.end();
+}
+
+template <PlacementPolicy Placement>
+template <typename Rng>
+bool Scheduler<Placement>::tryStart(TimePoint Now, Service &S, Task &T,
+                                    Rng &Random,
+                                    std::vector<PlacementDecision> &Out) {
+  auto accepts = [&](std::size_t Index) { return !avoids(S, T, Index); };
+  std::optional<PlacementChoice> Choice =
+      S.free(T.m_Class).choose(Random, accepts);
+  if (!Choice)
+    return false;
+  Out.push_back(describe(Now, S, T, *Choice));
+  start(Now, S, T, Choice->m_Endpoint, Out.back());
+  return true;
+}
+
+template <PlacementPolicy Placement>
+PlacementDecision
+Scheduler<Placement>::describe(TimePoint Now, Service &S, const Task &T,
+                               const PlacementChoice &Choice) const {
+  double MeanMs = S.m_Work.estimate(Now, T.m_Request.m_Kind).m_MeanMs;
+  const EndpointRecord &Chosen = m_Endpoints[Choice.m_Endpoint]->m_Record;
+  PlacementDecision Decision;
+  Decision.m_Task = T.m_Request.m_Key;
+  Decision.m_Endpoint = Chosen.address();
+  Decision.m_Class = T.m_Class;
+  Decision.m_Policy = Placement::Name;
+  Decision.m_ExpectedMs = MeanMs * Chosen.estimate().slowness();
+  Decision.m_WaitedMs = millisecondsBetween(T.m_QueuedAt, Now);
+  Decision.m_Candidates = S.free(T.m_Class).size();
+  if (Choice.m_Rejected) {
+    const EndpointRecord &Other = m_Endpoints[*Choice.m_Rejected]->m_Record;
+    Decision.m_Rejected = Other.address();
+    Decision.m_RejectedExpectedMs = MeanMs * Other.estimate().slowness();
+  }
+  return Decision;
+}
+
+template <PlacementPolicy Placement>
+void Scheduler<Placement>::start(TimePoint Now, Service &S, Task &T,
+                                 std::size_t Index,
+                                 PlacementDecision &Decision) {
+  S.queue(T.m_Class).take(T.m_Handle);
+  --m_Teams[T.m_Team].m_Queued;
+  --m_Queued;
+  ++m_Running;
+  ++S.m_Running;
+  S.m_RunningLong += T.m_Class == TaskClass::Long;
+  S.m_LastWasLong = T.m_Class == TaskClass::Long;
+  if (!T.m_Repeated)
+    S.m_Retries.deposit();
+  T.m_Phase = Phase::Running;
+  T.m_StartedAt = Now;
+  T.m_Endpoint = Index;
+  EndpointRecord &Record = m_Endpoints[Index]->m_Record;
+  T.m_Request.m_Excluded.push_back(Record.address());
+  if (Record.start(T.m_Request.m_Key, T.m_Class))
+    Decision.m_Reason = PlacementReason::Probe;
+  reindex(Now, Index);
+  if (T.m_Class == TaskClass::Short)
+    scheduleDemotion(Now, T);
+}
+
+} // namespace auburnhub
+
+#endif
