--- a/Source/Dispatch/DispatchRole.cpp
+++ b/Source/Dispatch/DispatchRole.cpp
@@ -77,9 +77,8 @@
 };
 
 absl::Status DispatchRole::Impl::start() {
-  absl::StatusOr<StateChart> Chart =
-      StateChart::load(m_Context.m_ChartDirectory + "/task-life.yaml",
-                       TaskRunner::vocabulary());
+  absl::StatusOr<StateChart> Chart = StateChart::load(
+      m_Context.m_ChartDirectory + "/task-life.yaml", TaskRunner::vocabulary());
   if (!Chart.ok())
     return Chart.status();
   TimerService &Timers = m_Context.m_Timers;
@@ -191,32 +190,31 @@
   auto Try = [&]<typename Type>(auto Handle) {
     return handleAs<Type>(From, Received, Handle);
   };
-  bool Handled =
-      Try.operator()<Submit>(
-          [&](const Submit &Msg) { m_Dispatcher->submit(From, Msg); }) ||
-      Try.operator()<Answer>([&](const Answer &Msg) {
-        m_Dispatcher->onForwardedAnswer(From, Msg);
-      }) ||
-      Try.operator()<ClaimReply>(
-          [&](const ClaimReply &Msg) { m_Dispatcher->onClaimReply(Msg); }) ||
-      Try.operator()<LoanRequest>(
-          [&](const LoanRequest &Msg) { m_Lending->onRequest(From, Msg); }) ||
-      Try.operator()<LoanGrant>(
-          [&](const LoanGrant &Msg) { m_Lending->onGrant(From, Msg); }) ||
-      Try.operator()<LoanReturn>(
-          [&](const LoanReturn &Msg) { m_Lending->onReturn(From, Msg); }) ||
-      Try.operator()<MintTickets>([&](const MintTickets &Msg) {
-        m_Hub->send(From, m_Dispatcher->mint(Msg));
-      }) ||
-      Try.operator()<Cancel>(
-          [&](const Cancel &Msg) { m_Dispatcher->cancel(From, Msg); }) ||
-      Try.operator()<CancelReply>([&](const CancelReply &Msg) {
-        m_Dispatcher->onForwardedCancelReply(From, Msg);
-      }) ||
-      Try.operator()<ConfigurationUpdate>(
-          [&](const ConfigurationUpdate &Msg) { onConfiguration(Msg); }) ||
-      Try.operator()<MembersUpdate>(
-          [&](const MembersUpdate &Msg) { onMembers(Msg); });
+  bool Handled = Try.operator()<Submit>([&](const Submit &Msg) {
+    m_Dispatcher->submit(From, Msg);
+  }) || Try.operator()<Answer>([&](const Answer &Msg) {
+    m_Dispatcher->onForwardedAnswer(From, Msg);
+  }) || Try.operator()<ClaimReply>([&](const ClaimReply &Msg) {
+    m_Dispatcher->onClaimReply(Msg);
+  }) || Try.operator()<LoanRequest>([&](const LoanRequest &Msg) {
+    m_Lending->onRequest(From, Msg);
+  }) || Try.operator()<LoanGrant>([&](const LoanGrant &Msg) {
+    m_Lending->onGrant(From, Msg);
+  }) || Try.operator()<LoanReturn>([&](const LoanReturn &Msg) {
+    m_Lending->onReturn(From, Msg);
+  }) || Try.operator()<MintTickets>([&](const MintTickets &Msg) {
+    m_Hub->send(From, m_Dispatcher->mint(Msg));
+  }) || Try.operator()<Cancel>([&](const Cancel &Msg) {
+    m_Dispatcher->cancel(From, Msg);
+  }) || Try.operator()<CancelReply>([&](const CancelReply &Msg) {
+    m_Dispatcher->onForwardedCancelReply(From, Msg);
+  }) ||
+                 Try.operator()<ConfigurationUpdate>(
+                     [&](const ConfigurationUpdate &Msg) {
+                       onConfiguration(Msg);
+                     }) ||
+                 Try.operator()<MembersUpdate>(
+                     [&](const MembersUpdate &Msg) { onMembers(Msg); });
   if (!Handled && Received.m_Type != Reject::TypeName)
     m_Log.warning("message_ignored", {{"type", Received.m_Type}});
 }
@@ -230,8 +228,8 @@
   absl::Status Checked =
       Decoded.ok() ? Decoded->m_Policy.validate() : Decoded.status();
   if (!Checked.ok()) {
-    m_Log.error("configuration_refused", {{"offset", Msg.m_Offset},
-                                          {"detail", failureDetail(Checked)}});
+    m_Log.error("configuration_refused",
+                {{"offset", Msg.m_Offset}, {"detail", failureDetail(Checked)}});
     return;
   }
   m_ConfigurationOffset = Msg.m_Offset;
@@ -240,10 +238,9 @@
   for (const auto &[Name, Service] : Decoded->m_Services)
     Services.push_back(Name);
   m_Lending->setServices(std::move(Services));
-  m_Log.info("configuration_in_force",
-             {{"offset", Msg.m_Offset},
-              {"change_id", Msg.m_Record.m_ChangeId},
-              {"author", Msg.m_Record.m_Author}});
+  m_Log.info("configuration_in_force", {{"offset", Msg.m_Offset},
+                                        {"change_id", Msg.m_Record.m_ChangeId},
+                                        {"author", Msg.m_Record.m_Author}});
   m_Context.m_Metrics
       .gauge("auburnhub_configuration_offset",
              "Offset of the configuration in force.")
@@ -277,8 +274,7 @@
   // A dispatcher that drains keeps its slots for the work that it still has.
   if (m_Draining)
     return;
-  m_Dispatcher->runner().setEndpoints(Owned.m_Endpoints,
-                                      Owned.m_ExpectedSlots);
+  m_Dispatcher->runner().setEndpoints(Owned.m_Endpoints, Owned.m_ExpectedSlots);
   m_Log.debug("owned_endpoints", {{"count", Owned.m_Endpoints.size()}});
 }
 
@@ -295,8 +291,8 @@
   m_Hub->send(*m_Control, Msg);
 }
 
-std::optional<PeerId>
-DispatchRole::Impl::findPeer(std::string_view Role, Incarnation Wanted) const {
+std::optional<PeerId> DispatchRole::Impl::findPeer(std::string_view Role,
+                                                   Incarnation Wanted) const {
   for (const auto &[Peer, Greeting] : m_Hub->peers())
     if (Greeting.m_Role == Role && Greeting.m_Incarnation == Wanted)
       return Peer;
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -64,8 +64,7 @@
                 }}),
       m_Accepted(Metrics.counter("auburnhub_submissions_total",
                                  "Submissions that this dispatcher owned.")),
-      m_ClaimsWon(
-          Metrics.counter("auburnhub_claims_won_total", "Claims won.")),
+      m_ClaimsWon(Metrics.counter("auburnhub_claims_won_total", "Claims won.")),
       m_ClaimsLost(Metrics.counter("auburnhub_claims_lost_total",
                                    "Claims that another incarnation won.")),
       m_Forwarded(Metrics.counter("auburnhub_forwarded_total",
@@ -160,8 +159,8 @@
   Added->m_Deadline = Added->m_ArrivedAt + Milliseconds(Msg.m_TimeoutMs);
   Added->m_Bodies = Msg.m_Tasks;
   Added->m_Waiters.push_back({From, Msg.m_Call});
-  Added->m_Timeout = m_Timers.once(
-      Milliseconds(Msg.m_TimeoutMs), m_Owner, [this, Id] {
+  Added->m_Timeout =
+      m_Timers.once(Milliseconds(Msg.m_TimeoutMs), m_Owner, [this, Id] {
         Submission *Late = m_Submissions.find(Id);
         if (Late && !Late->isOver())
           end(*Late, Late->outcomeIfEnded(),
@@ -251,8 +250,8 @@
 
 void Dispatcher::onClaimLost(Submission &Loser, const ClaimReply &Msg) {
   m_ClaimsLost.add();
-  m_Log.info("claim_lost", {{"submission", Msg.m_Id.str()},
-                            {"winner", Msg.m_Winner}});
+  m_Log.info("claim_lost",
+             {{"submission", Msg.m_Id.str()}, {"winner", Msg.m_Winner}});
   m_Winners[Msg.m_Id] = Msg.m_Winner;
   m_WinnersByTime.emplace(Msg.m_Id.timeMs(), Msg.m_Id);
   Submit Again;
@@ -263,11 +262,11 @@
   Again.m_Job = Loser.m_Job;
   Again.m_NoRepeat = !Loser.m_Repeatable;
   Again.m_Tasks = Loser.m_Bodies;
-  Again.m_TimeoutMs = std::max<std::int64_t>(
-      std::chrono::duration_cast<Milliseconds>(Loser.m_Deadline -
-                                               TimerService::now())
-          .count(),
-      1);
+  Again.m_TimeoutMs =
+      std::max<std::int64_t>(std::chrono::duration_cast<Milliseconds>(
+                                 Loser.m_Deadline - TimerService::now())
+                                 .count(),
+                             1);
   std::vector<Waiter> Waiters = Loser.m_Waiters;
   m_Timers.cancel(Loser.m_Timeout);
   m_Submissions.erase(Again.m_Id);
@@ -369,8 +368,7 @@
 void Dispatcher::onForwardedAnswer(PeerId From, const Answer &Msg) {
   auto Found = m_Forwards.find(Msg.m_Call);
   bool IsOurs = Found != m_Forwards.end() && !Found->second.m_IsCancel &&
-                Found->second.m_Owner == From &&
-                Found->second.m_Id == Msg.m_Id;
+                Found->second.m_Owner == From && Found->second.m_Id == Msg.m_Id;
   if (!IsOurs) {
     m_Log.warning("answer_mismatch", {{"submission", Msg.m_Id.str()}});
     return;
@@ -454,9 +452,8 @@
   if (!m_Configuration->m_Teams.contains(Msg.m_Team))
     return Fail(FailureCode::UnknownTeam, "unknown team " + Msg.m_Team);
   if (Msg.m_Count < 1 || Msg.m_Count > MaxTicketsPerCall)
-    return Fail(FailureCode::BadRequest,
-                "expected a count from 1 to " +
-                    std::to_string(MaxTicketsPerCall));
+    return Fail(FailureCode::BadRequest, "expected a count from 1 to " +
+                                             std::to_string(MaxTicketsPerCall));
   std::int64_t Now = TimerService::wallMilliseconds();
   for (int I = 0; I != Msg.m_Count; ++I)
     Reply.m_Ids.push_back(m_Tickets.mintFor(Msg.m_Team, Now));
--- a/Source/Dispatch/EndpointCaller.cpp
+++ b/Source/Dispatch/EndpointCaller.cpp
@@ -54,8 +54,8 @@
                                   ": the reply belongs to another call"));
   EndpointReply Reply;
   Reply.m_Leaving = Headers.get("Auburnhub-Leaving") == "yes";
-  std::string Status = Call.m_Endpoint.str() + ": status " +
-                       std::to_string(Response->m_Status);
+  std::string Status =
+      Call.m_Endpoint.str() + ": status " + std::to_string(Response->m_Status);
   if (Response->m_Status == HttpOk) {
     Reply.m_End = CallEnd::Done;
     Reply.m_Result = std::move(Response->m_Body);
--- a/Source/Dispatch/SlotLending.cpp
+++ b/Source/Dispatch/SlotLending.cpp
@@ -25,10 +25,9 @@
     : m_Runner(Runner), m_Links(std::move(Reach)),
       m_Requests(Metrics.counter("auburnhub_loan_requests_total",
                                  "Requests for slots that were sent.")),
-      m_SlotsLent(
-          Metrics.counter("auburnhub_slots_lent_total", "Slots lent.")),
-      m_SlotsBorrowed(Metrics.counter("auburnhub_slots_borrowed_total",
-                                      "Slots borrowed.")),
+      m_SlotsLent(Metrics.counter("auburnhub_slots_lent_total", "Slots lent.")),
+      m_SlotsBorrowed(
+          Metrics.counter("auburnhub_slots_borrowed_total", "Slots borrowed.")),
       m_Unused(Metrics.counter("auburnhub_loan_refusals_total",
                                "Requests for slots that gave none.")) {}
 
@@ -166,8 +165,7 @@
 }
 
 void SlotLending::returnIdle(const std::string &Service) {
-  for (const EndpointSlots &Idle :
-       m_Runner.scheduler().idleBorrowed(Service))
+  for (const EndpointSlots &Idle : m_Runner.scheduler().idleBorrowed(Service))
     returnSlots(Service, Idle);
 }
 
--- a/Source/Dispatch/SlotLending.h
+++ b/Source/Dispatch/SlotLending.h
@@ -65,10 +65,10 @@
   };
   /// The search of one service for a lender.
   struct Search {
-    std::size_t m_Next = 0;       ///< Which lender to ask next.
-    CallNumber m_Waiting = 0;     ///< The request that waits; 0 for none.
+    std::size_t m_Next = 0;   ///< Which lender to ask next.
+    CallNumber m_Waiting = 0; ///< The request that waits; 0 for none.
     PeerId m_Asked = 0;
-    MonotonicTime m_NotBefore;    ///< Ask nobody before.
+    MonotonicTime m_NotBefore; ///< Ask nobody before.
   };
 
   void ask(const std::string &Service, Search &State, std::size_t Wanted);
--- a/Source/Dispatch/SlotOwnership.h
+++ b/Source/Dispatch/SlotOwnership.h
@@ -30,8 +30,8 @@
 /// to one of the ready dispatchers of its own data centre, or of any data
 /// centre if it has none there.
 OwnedSlots findOwnedSlots(const DispatchConfiguration &Configuration,
-                          const MembersUpdate &Members,
-                          std::string_view Vm, std::string_view DataCentre);
+                          const MembersUpdate &Members, std::string_view Vm,
+                          std::string_view DataCentre);
 
 } // namespace auburnhub
 
--- a/Source/Dispatch/TaskRunner.cpp
+++ b/Source/Dispatch/TaskRunner.cpp
@@ -55,8 +55,7 @@
 StateChart::Vocabulary TaskRunner::vocabulary() {
   return {{"has_time_left", "may_repeat"},
           {"call_endpoint", "remove_from_queue", "refuse_submission",
-           "fail_submission", "note_end", "forget", "requeue",
-           "store_result"}};
+           "fail_submission", "note_end", "forget", "requeue", "store_result"}};
 }
 
 TaskRunner::TaskRunner(SerialTask &Owner, SubmissionTable &Submissions,
@@ -84,8 +83,8 @@
   m_Scheduler.setParameters(TimerService::now(), Configuration.m_Policy);
   std::vector<TeamSpec> Teams;
   for (const auto &[Name, Team] : Configuration.m_Teams)
-    Teams.push_back({Name, Team.m_Weight,
-                     static_cast<std::size_t>(Team.m_MaxQueued)});
+    Teams.push_back(
+        {Name, Team.m_Weight, static_cast<std::size_t>(Team.m_MaxQueued)});
   m_Scheduler.setTeams(Teams);
 }
 
@@ -125,8 +124,7 @@
                         Added.m_Deadline,
                         {}});
   }
-  Admission Result =
-      m_Scheduler.admit(TimerService::now(), Requests, m_Random);
+  Admission Result = m_Scheduler.admit(TimerService::now(), Requests, m_Random);
   if (!Result.ok()) {
     Added.m_Tasks.clear();
     return Result;
@@ -172,8 +170,8 @@
   logPolicyEvents();
 }
 
-TaskRunner::Happening *
-TaskRunner::findTask(TaskKey Key, std::optional<Happening> &Storage) {
+TaskRunner::Happening *TaskRunner::findTask(TaskKey Key,
+                                            std::optional<Happening> &Storage) {
   auto Place = m_Tasks.find(Key);
   if (Place == m_Tasks.end())
     return nullptr;
@@ -189,9 +187,8 @@
   SubmissionTask &Task = What.m_Submission.m_Tasks[What.m_Index];
   auto EventId = m_Chart.findEvent(Event);
   const StateChart::Transition *Taken =
-      m_Chart.next(Task.m_State, *EventId, [&](std::string_view Guard) {
-        return holds(What, Guard);
-      });
+      m_Chart.next(Task.m_State, *EventId,
+                   [&](std::string_view Guard) { return holds(What, Guard); });
   if (!Taken)
     return;
   Task.m_State = Taken->m_To;
@@ -275,14 +272,13 @@
               {"candidates", Decision.m_Candidates},
               {"rejected", Decision.m_Rejected},
               {"rejected_expected_ms", Decision.m_RejectedExpectedMs}});
-  m_Caller.start(std::move(Call),
-                 [this, Key = What.m_Key,
-                  Attempt = Task.m_Attempt](EndpointReply Reply) {
-                   m_Owner.post([this, Key, Attempt,
-                                 Reply = std::move(Reply)]() mutable {
-                     onReply(Key, Attempt, std::move(Reply));
-                   });
-                 });
+  m_Caller.start(
+      std::move(Call),
+      [this, Key = What.m_Key, Attempt = Task.m_Attempt](EndpointReply Reply) {
+        m_Owner.post([this, Key, Attempt, Reply = std::move(Reply)]() mutable {
+          onReply(Key, Attempt, std::move(Reply));
+        });
+      });
 }
 
 void TaskRunner::onReply(TaskKey Key, int Attempt, EndpointReply Reply) {
@@ -300,13 +296,13 @@
     m_Log.info("endpoint_leaving",
                {{"endpoint", Task.m_Endpoint}, {"reason", "it said so"}});
   }
-  nlohmann::json Fields = {{"submission", What->m_Submission.m_Id.str()},
-                           {"task", What->m_Index},
-                           {"attempt", Attempt},
-                           {"endpoint", Task.m_Endpoint},
-                           {"result", chartEvent(Reply.m_End)},
-                           {"run_ms", secondsSince(Task.m_PlacedAt) *
-                                          MsPerSecond}};
+  nlohmann::json Fields = {
+      {"submission", What->m_Submission.m_Id.str()},
+      {"task", What->m_Index},
+      {"attempt", Attempt},
+      {"endpoint", Task.m_Endpoint},
+      {"result", chartEvent(Reply.m_End)},
+      {"run_ms", secondsSince(Task.m_PlacedAt) * MsPerSecond}};
   if (!Reply.m_Failure.ok())
     Fields["detail"] = failureDetail(Reply.m_Failure);
   m_Log.info("task_finished", std::move(Fields));
