--- a/Tests/Fakes/FakeEndpoint.cpp
+++ b/Tests/Fakes/FakeEndpoint.cpp
@@ -198,15 +198,19 @@
 }
 
 void FakeEndpoint::setMode(EndpointMode Mode, double Factor) {
+  bool WasLeaving = false;
   {
     std::lock_guard<std::mutex> Lock(m_Mutex);
+    WasLeaving = m_Behaviour.m_Mode == EndpointMode::Leaving;
     m_Behaviour.m_Mode = Mode;
     m_Behaviour.m_Factor = Factor;
     ++m_Behaviour.m_Version;
   }
   m_Changed.notify_all();
-  if (Mode == EndpointMode::Leaving)
-    m_Journal.write({{"event", "leaving"}, {"endpoint", m_Options.m_Name}});
+  const bool IsLeaving = Mode == EndpointMode::Leaving;
+  if (IsLeaving != WasLeaving)
+    m_Journal.write({{"event", IsLeaving ? "leaving" : "joined"},
+                     {"endpoint", m_Options.m_Name}});
 }
 
 nlohmann::json FakeEndpoint::stats() {
--- a/Tests/Fakes/FakeEndpointMain.cpp
+++ b/Tests/Fakes/FakeEndpointMain.cpp
@@ -97,7 +97,7 @@
       "port of the first endpoint, the others follow; 0 for free ones");
   Add("count", po::value<int>()->default_value(1), "number of endpoints");
   Add("name", po::value<std::string>()->default_value("endpoint"),
-      "name in the journal; followed by -INDEX if there are several");
+      "name in the journal, where -INDEX follows it");
   Add("slots", po::value<int>()->default_value(8),
       "most tasks that run at once on an endpoint");
   Add("speed", po::value<std::vector<double>>()->multitoken(),
@@ -111,9 +111,8 @@
 
 FakeEndpointOptions readOptions(const po::variables_map &Values, int Index) {
   FakeEndpointOptions Options;
-  Options.m_Name = Values["name"].as<std::string>();
-  if (Values["count"].as<int>() > 1)
-    Options.m_Name += "-" + std::to_string(Index);
+  Options.m_Name =
+      Values["name"].as<std::string>() + "-" + std::to_string(Index);
   Options.m_Slots = Values["slots"].as<int>();
   Options.m_DefaultRun = Milliseconds(Values["default-ms"].as<int>());
   if (Values.contains("speed")) {
