--- /dev/null
+++ b/Tests/Entry/CallTableTest.cpp
@@ -0,0 +1,1 @@
+#include "EntryFixture.h"
