--- a/Tests/Fakes/Exchange.cpp
+++ b/Tests/Fakes/Exchange.cpp
@@ -17,7 +17,7 @@
 namespace auburnhub::test {
 namespace {
 
-constexpr std::size_t FillerBlockBytes = 64 * 1024;
+constexpr std::size_t FillerBlockBytes = 65536;
 
 } // namespace
 
--- a/Tests/Fakes/FakeEndpoint.cpp
+++ b/Tests/Fakes/FakeEndpoint.cpp
@@ -9,7 +9,7 @@
 namespace auburnhub::test {
 namespace {
 
-constexpr std::size_t BytesPerMebibyte = 1024 * 1024;
+constexpr std::size_t BytesPerMebibyte = std::size_t{1} << 20;
 
 constexpr std::array<std::pair<std::string_view, EndpointMode>, 14> ModeNames =
     {{{"ok", EndpointMode::Ok},
--- a/Tests/System/Support/HistoryChecker.cpp
+++ b/Tests/System/Support/HistoryChecker.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <ostream>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace auburnhub::test {
@@ -29,7 +30,11 @@
   std::string m_Vm;
   std::string m_Process;
   int m_Life;
-  auto operator<=>(const ProcessKey &) const = default;
+
+  bool operator<(const ProcessKey &Other) const {
+    return std::tie(m_Vm, m_Process, m_Life) <
+           std::tie(Other.m_Vm, Other.m_Process, Other.m_Life);
+  }
 };
 
 class Checker {
--- a/Tests/System/Support/ProcessRunner.cpp
+++ b/Tests/System/Support/ProcessRunner.cpp
@@ -38,6 +38,7 @@
   std::vector<std::string> Words{Program};
   Words.insert(Words.end(), Arguments.begin(), Arguments.end());
   std::vector<char *> Argv;
+  Argv.reserve(Words.size() + 1);
   for (std::string &Word : Words)
     Argv.push_back(Word.data());
   Argv.push_back(nullptr);
