--- a/Source/Policy/EndpointRecord.cpp
+++ b/Source/Policy/EndpointRecord.cpp
@@ -137,17 +137,17 @@
 EndpointRecord::nextReview(TimePoint Now,
                            const PolicyParameters &Parameters) const {
   std::optional<TimePoint> Next;
-  auto consider = [&](TimePoint At) {
+  auto Consider = [&](TimePoint At) {
     if (At > Now && (!Next || At < *Next))
       Next = At;
   };
-  consider(m_PausedUntil);
+  Consider(m_PausedUntil);
   if (health() == HealthState::Ejected)
-    consider(m_EjectedUntil);
+    Consider(m_EjectedUntil);
   if (m_Estimate.startsSlowly(Now))
-    consider(addMs(Now, Parameters.m_SlowStartMs / SlowStartSteps + 1));
+    Consider(addMs(Now, Parameters.m_SlowStartMs / SlowStartSteps + 1));
   if (!m_Loans.empty())
-    consider(m_Loans.front().m_Expiry);
+    Consider(m_Loans.front().m_Expiry);
   return Next;
 }
 
--- a/Tests/Policy/SchedulerPropertyTest.cpp
+++ b/Tests/Policy/SchedulerPropertyTest.cpp
@@ -78,7 +78,8 @@
   void finish(unsigned Value) {
     if (m_Running.empty())
       return;
-    auto It = std::next(m_Running.begin(), Value % m_Running.size());
+    auto Position = static_cast<std::ptrdiff_t>(Value % m_Running.size());
+    auto It = std::next(m_Running.begin(), Position);
     TaskKey Key = It->first;
     m_Running.erase(It);
     auto Result = static_cast<TaskResult>(Value % 5);
--- a/include/auburnhub/Policy/SchedulerTasksImpl.h
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -421,9 +421,9 @@
 bool Scheduler<Placement>::tryStart(TimePoint Now, Service &S, Task &T,
                                     Rng &Random,
                                     std::vector<PlacementDecision> &Out) {
-  auto accepts = [&](std::size_t Index) { return !avoids(S, T, Index); };
+  auto Accepts = [&](std::size_t Index) { return !avoids(S, T, Index); };
   std::optional<PlacementChoice> Choice =
-      S.free(T.m_Class).choose(Random, accepts);
+      S.free(T.m_Class).choose(Random, Accepts);
   if (!Choice)
     return false;
   Out.push_back(describe(Now, S, T, *Choice));
