Policy: Leave time for the run on slow endpoints

The latest start of a queued task left the median run time, so that at the crest most starts on slow endpoints ended after the timeout: their work was wasted. It now leaves a high quantile of the kind's run times, bounded by a multiple of the median and by half of the task's time.

--- a/Source/Policy/PolicyParameters.cpp
+++ b/Source/Policy/PolicyParameters.cpp
@@ -53,6 +53,8 @@
       {"min_short_limit_ms", m_MinShortLimitMs, 1, MaxDurationMs},
       {"long_share", m_LongShare, 0.01, 1},
       {"long_guaranteed_share", m_LongGuaranteedShare, 0, m_LongShare},
+      {"finish_quantile", m_FinishQuantile, 0.5, 1},
+      {"max_finish_factor", m_MaxFinishFactor, 1, MaxFactor},
       {"max_queue_ms", m_MaxQueueMs, 1, MaxDurationMs},
       {"min_retry_after_ms", m_MinRetryAfterMs, 1, MaxDurationMs},
       {"retry_after_spread", m_RetryAfterSpread, 0.01, MaxFactor},
--- a/Source/Policy/WorkModel.cpp
+++ b/Source/Policy/WorkModel.cpp
@@ -22,7 +22,12 @@
 
 WorkModel::WorkModel(const PolicyParameters &Parameters, TimePoint Now)
     : m_Parameters(Parameters),
-      m_All{RunTimeModel(Parameters.m_RunTimeHalfLifeMs, Now), {}, 0, Now, Now},
+      m_All{RunTimeModel(Parameters.m_RunTimeHalfLifeMs, Now),
+            {},
+            0,
+            0,
+            Now,
+            Now},
       m_ShortLimitMs(std::numeric_limits<double>::infinity()) {}
 
 void WorkModel::setParameters(const PolicyParameters &Parameters) {
@@ -61,8 +66,10 @@
   bool LongKind = E != &m_All && Estimate.m_MedianMs > m_ShortLimitMs;
   Estimate.m_Class = LongKind ? TaskClass::Long : TaskClass::Short;
   double SilentMs = millisecondsBetween(E->m_RecordedAt, Now);
-  if (E != &m_All && SilentMs <= m_Parameters.m_EstimateMaxAgeMs)
+  if (E != &m_All && SilentMs <= m_Parameters.m_EstimateMaxAgeMs) {
     Estimate.m_RecentMedianMs = Estimate.m_MedianMs;
+    Estimate.m_RecentFinishMs = E->m_FinishMs;
+  }
   return Estimate;
 }
 
@@ -85,7 +92,7 @@
   if (m_Kinds.size() >= static_cast<std::size_t>(m_Parameters.m_MaxKinds))
     return nullptr;
   Entry Fresh{
-      RunTimeModel(m_Parameters.m_RunTimeHalfLifeMs, Now), {}, 0, Now, Now};
+      RunTimeModel(m_Parameters.m_RunTimeHalfLifeMs, Now), {}, 0, 0, Now, Now};
   return &m_Kinds.emplace(std::string(Kind), std::move(Fresh)).first->second;
 }
 
@@ -102,10 +109,14 @@
   E.m_Unseen = 0;
   E.m_RefreshedAt = Now;
   E.m_Estimate = WorkEstimate();
+  E.m_FinishMs = 0;
   E.m_Estimate.m_MeanMs = E.m_Model.meanMs();
   if (E.m_Model.weight() < m_Parameters.m_MinSamples)
     return;
-  E.m_Estimate.m_MedianMs = E.m_Model.quantileMs(MedianQuantile);
+  double MedianMs = E.m_Model.quantileMs(MedianQuantile);
+  double FinishMs = E.m_Model.quantileMs(m_Parameters.m_FinishQuantile);
+  E.m_Estimate.m_MedianMs = MedianMs;
+  E.m_FinishMs = std::min(FinishMs, MedianMs * m_Parameters.m_MaxFinishFactor);
 }
 
 void WorkModel::computeLimit() {
--- a/include/auburnhub/Policy/PolicyParameters.h
+++ b/include/auburnhub/Policy/PolicyParameters.h
@@ -22,6 +22,8 @@
   double m_LongGuaranteedShare = 0.1;
 
   // Admission.
+  double m_FinishQuantile = 0.99;
+  double m_MaxFinishFactor = 4;
   double m_MaxQueueMs = 10000;
   double m_MinRetryAfterMs = 500;
   double m_RetryAfterSpread = 1.0;
@@ -53,6 +55,8 @@
     V("min_short_limit_ms", m_MinShortLimitMs);
     V("long_share", m_LongShare);
     V("long_guaranteed_share", m_LongGuaranteedShare);
+    V("finish_quantile", m_FinishQuantile);
+    V("max_finish_factor", m_MaxFinishFactor);
     V("max_queue_ms", m_MaxQueueMs);
     V("min_retry_after_ms", m_MinRetryAfterMs);
     V("retry_after_spread", m_RetryAfterSpread);
--- a/include/auburnhub/Policy/SchedulerTasksImpl.h
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -16,6 +16,14 @@
   return Estimate.m_MeanMs > 0 ? Estimate.m_MeanMs : UnlearnedMs;
 }
 
+/// Returns the time, in milliseconds, to leave for the run of a task that has
+/// LeftMs. A task with little time may start, although it is likely to be late,
+/// if it does so in the first half of that time.
+inline double finishMs(const WorkEstimate &Estimate, double LeftMs) {
+  double Least = std::max(Estimate.m_RecentMedianMs, LeftMs / 2);
+  return std::min(Estimate.m_RecentFinishMs, Least);
+}
+
 } // namespace detail
 
 template <PlacementPolicy Placement>
@@ -93,7 +101,7 @@
     return absl::OkStatus();
   FairQueue::Team T = m_TeamIndex.find(Request.m_Team)->second;
   WaitMs = S.expectedWaitMs(Estimate.m_Class, T, m_Parameters);
-  if (WaitMs + Estimate.m_RecentMedianMs > LeftMs)
+  if (WaitMs + detail::finishMs(Estimate, LeftMs) > LeftMs)
     return makeFailure(FailureCode::Overloaded,
                        "the queue is longer than the timeout allows");
   if (WaitMs > m_Parameters.m_MaxQueueMs)
@@ -110,7 +118,9 @@
   T.m_Phase = Phase::Queued;
   T.m_Class = Estimate.m_Class;
   T.m_QueuedAt = Now;
-  T.m_LatestStart = addMs(T.m_Request.m_Deadline, -Estimate.m_RecentMedianMs);
+  double LeftMs = millisecondsBetween(Now, T.m_Request.m_Deadline);
+  T.m_LatestStart =
+      addMs(T.m_Request.m_Deadline, -detail::finishMs(Estimate, LeftMs));
   T.m_Attempt = ++m_Attempts;
   FairQueue &Q = S.queue(T.m_Class);
   T.m_Handle =
--- a/include/auburnhub/Policy/WorkModel.h
+++ b/include/auburnhub/Policy/WorkModel.h
@@ -19,6 +19,9 @@
   /// that a task cannot meet its deadline, so that a kind that is refused is
   /// tried again.
   double m_RecentMedianMs = 0;
+  /// The time that a task needs from its start to end with good probability,
+  /// or 0, likewise.
+  double m_RecentFinishMs = 0;
 };
 
 /// Learns the run times of a service by kind and tells short from long work.
@@ -55,6 +58,7 @@
   struct Entry {
     RunTimeModel m_Model;
     WorkEstimate m_Estimate;
+    double m_FinishMs = 0;
     int m_Unseen = 0;
     TimePoint m_RefreshedAt;
     TimePoint m_RecordedAt;
