Dispatch: Read the configuration by the type that control accepts it by

Cause: dispatch had a second set of structs of the same names as the library Coordination, which breaks the one-definition rule once both are linked, and could accept what control refuses.

--- a/Source/Dispatch/DispatchRole.cpp
+++ b/Source/Dispatch/DispatchRole.cpp
@@ -224,18 +224,17 @@
   if (Msg.m_Offset <= m_ConfigurationOffset)
     return;
   absl::StatusOr<DispatchConfiguration> Decoded =
-      fromJson<DispatchConfiguration>(Msg.m_Record.m_Body);
-  absl::Status Checked =
-      Decoded.ok() ? Decoded->m_Policy.validate() : Decoded.status();
-  if (!Checked.ok()) {
+      DispatchConfiguration::fromRecord(Msg.m_Record);
+  if (!Decoded.ok()) {
     m_Log.error("configuration_refused",
-                {{"offset", Msg.m_Offset}, {"detail", failureDetail(Checked)}});
+                {{"offset", Msg.m_Offset},
+                 {"detail", failureDetail(Decoded.status())}});
     return;
   }
   m_ConfigurationOffset = Msg.m_Offset;
   m_Dispatcher->configure(*Decoded);
   std::vector<std::string> Services;
-  for (const auto &[Name, Service] : Decoded->m_Services)
+  for (const auto &[Name, Service] : Decoded->m_Body.m_Services)
     Services.push_back(Name);
   m_Lending->setServices(std::move(Services));
   m_Log.info("configuration_in_force", {{"offset", Msg.m_Offset},
@@ -268,7 +267,7 @@
   if (!Configuration)
     return;
   OwnedSlots Owned =
-      findOwnedSlots(*Configuration, m_Members, m_Context.m_Common.m_Vm,
+      findOwnedSlots(Configuration->m_Body, m_Members, m_Context.m_Common.m_Vm,
                      m_Context.m_Common.m_DataCentre);
   m_Dispatcher->runner().setLeaving(Owned.m_Leaving);
   // A dispatcher that drains keeps its slots for the work that it still has.
@@ -351,7 +350,7 @@
     m_Lending->beginDrain();
     sendStatus();
     const auto &Configuration = m_Dispatcher->configuration();
-    Milliseconds Limit(Configuration ? Configuration->m_Limits.m_DrainMs
+    Milliseconds Limit(Configuration ? Configuration->m_Body.m_Limits.m_DrainMs
                                      : LimitsConfiguration().m_DrainMs);
     checkDrained(TimerService::now() + Limit);
   });
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -117,9 +117,9 @@
   if (!m_Configuration)
     return makeFailure(FailureCode::NoConfiguration,
                        "no configuration is in force yet");
-  if (!m_Configuration->m_Teams.contains(Msg.m_Team))
+  if (!m_Configuration->m_Body.m_Teams.contains(Msg.m_Team))
     return makeFailure(FailureCode::UnknownTeam, "unknown team " + Msg.m_Team);
-  if (!m_Configuration->m_Services.contains(Msg.m_Service))
+  if (!m_Configuration->m_Body.m_Services.contains(Msg.m_Service))
     return makeFailure(FailureCode::UnknownService,
                        "unknown service " + Msg.m_Service);
   if (Msg.m_Tasks.empty())
@@ -128,7 +128,7 @@
 }
 
 absl::Status Dispatcher::checkCallerId(const SubmissionId &Id) const {
-  const LimitsConfiguration &Limits = m_Configuration->m_Limits;
+  const LimitsConfiguration &Limits = m_Configuration->m_Body.m_Limits;
   std::int64_t Now = TimerService::wallMilliseconds();
   if (Id.timeMs() > Now + Limits.m_ClockBoundMs)
     return makeFailure(FailureCode::IdFromFuture,
@@ -151,7 +151,7 @@
   Added->m_Job = Msg.m_Job;
   Added->m_Repeatable =
       !Msg.m_Job && !Msg.m_NoRepeat &&
-      m_Configuration->m_Services.at(Msg.m_Service).m_Repeatable;
+      m_Configuration->m_Body.m_Services.at(Msg.m_Service).m_Repeatable;
   // Repeatable work under a caller's id also goes on without a claim, so that
   // no one can rule out a start elsewhere.
   Added->m_Exclusive = !(Id.isCallerId() && Added->m_Repeatable);
@@ -449,7 +449,7 @@
   if (!m_Configuration)
     return Fail(FailureCode::NoConfiguration,
                 "no configuration is in force yet");
-  if (!m_Configuration->m_Teams.contains(Msg.m_Team))
+  if (!m_Configuration->m_Body.m_Teams.contains(Msg.m_Team))
     return Fail(FailureCode::UnknownTeam, "unknown team " + Msg.m_Team);
   if (Msg.m_Count < 1 || Msg.m_Count > MaxTicketsPerCall)
     return Fail(FailureCode::BadRequest, "expected a count from 1 to " +
@@ -523,7 +523,7 @@
   m_Remembered.set(static_cast<double>(m_Submissions.size()));
   if (!m_Configuration)
     return;
-  const LimitsConfiguration &Limits = m_Configuration->m_Limits;
+  const LimitsConfiguration &Limits = m_Configuration->m_Body.m_Limits;
   std::int64_t Oldest = TimerService::wallMilliseconds() -
                         Limits.m_ResubmissionWindowMs - Limits.m_ClockBoundMs;
   m_Submissions.forgetBefore(Oldest);
--- a/Source/Dispatch/SlotOwnership.cpp
+++ b/Source/Dispatch/SlotOwnership.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-OwnedSlots findOwnedSlots(const DispatchConfiguration &Configuration,
+OwnedSlots findOwnedSlots(const ConfigurationBody &Configuration,
                           const MembersUpdate &Members, std::string_view Vm,
                           std::string_view DataCentre) {
   OwnedSlots Result;
--- a/Source/Dispatch/SlotOwnership.h
+++ b/Source/Dispatch/SlotOwnership.h
@@ -1,8 +1,7 @@
 #ifndef AUBURNHUB_DISPATCH_SLOTOWNERSHIP_H
 #define AUBURNHUB_DISPATCH_SLOTOWNERSHIP_H
 
-#include "DispatchConfiguration.h"
-
+#include "auburnhub/Coordination/ConfigurationBody.h"
 #include "auburnhub/Messages/Messages.h"
 #include "auburnhub/Policy/Types.h"
 
@@ -29,7 +28,7 @@
 /// Works out which endpoints the dispatcher of a VM owns. An endpoint belongs
 /// to one of the ready dispatchers of its own data centre, or of any data
 /// centre if it has none there.
-OwnedSlots findOwnedSlots(const DispatchConfiguration &Configuration,
+OwnedSlots findOwnedSlots(const ConfigurationBody &Configuration,
                           const MembersUpdate &Members, std::string_view Vm,
                           std::string_view DataCentre);
 
--- a/Source/Dispatch/TaskRunner.cpp
+++ b/Source/Dispatch/TaskRunner.cpp
@@ -82,9 +82,9 @@
 void TaskRunner::configure(const DispatchConfiguration &Configuration) {
   m_Scheduler.setParameters(TimerService::now(), Configuration.m_Policy);
   std::vector<TeamSpec> Teams;
-  for (const auto &[Name, Team] : Configuration.m_Teams)
-    Teams.push_back(
-        {Name, Team.m_Weight, static_cast<std::size_t>(Team.m_MaxQueued)});
+  for (const auto &[Name, Team] : Configuration.m_Body.m_Teams)
+    Teams.push_back({Name, static_cast<double>(Team.m_Weight),
+                     static_cast<std::size_t>(Team.m_MaxQueued)});
   m_Scheduler.setTeams(Teams);
 }
 
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -65,10 +65,10 @@
     m_Dispatcher.emplace(m_Task, m_Timers, m_Metrics, Self, "vm",
                          std::move(*Chart), Links);
     DispatchConfiguration Configuration;
-    Configuration.m_Teams["club"] = {};
-    Configuration.m_Teams["shop"] = {};
-    Configuration.m_Services["proofs"] = {};
-    Configuration.m_Services["stock"].m_Repeatable = true;
+    Configuration.m_Body.m_Teams["club"] = {};
+    Configuration.m_Body.m_Teams["shop"] = {};
+    Configuration.m_Body.m_Services["proofs"] = {};
+    Configuration.m_Body.m_Services["stock"].m_Repeatable = true;
     run([&] {
       m_Dispatcher->configure(Configuration);
       std::string Address = m_Endpoint.m_Server->address().str();
@@ -135,9 +135,11 @@
   return Msg;
 }
 
+/// Returns an id that no other call returns.
 SubmissionId callerId(std::int64_t AgeMs = 0) {
+  static std::uint64_t Count = 0;
   return SubmissionId::makeCallerId(TimerService::wallMilliseconds() - AgeMs, 1,
-                                    2);
+                                    ++Count);
 }
 
 ClaimReply makeClaimReply(const ClaimRequest &Claim, Incarnation Winner) {
@@ -281,7 +283,7 @@
   BOOST_TEST(m_Answers[0].m_Failure == "platform-unavailable");
   BOOST_TEST((m_Answers[0].m_Outcome == Outcome::Unknown));
   BOOST_TEST(m_Endpoint.m_Starts == 0);
-  Submit Repeatable = makeSubmit(callerId(1));
+  Submit Repeatable = makeSubmit(callerId());
   Repeatable.m_Service = "stock";
   submit(Repeatable, 2);
   BOOST_TEST((m_Answers[1].m_Outcome == Outcome::Complete));
--- a/Tests/Dispatch/SlotOwnershipTest.cpp
+++ b/Tests/Dispatch/SlotOwnershipTest.cpp
@@ -14,8 +14,8 @@
   return Result;
 }
 
-DispatchConfiguration makeConfiguration(int Endpoints) {
-  DispatchConfiguration Result;
+ConfigurationBody makeConfiguration(int Endpoints) {
+  ConfigurationBody Result;
   ServiceConfiguration &Service = Result.m_Services["proofs"];
   for (int I = 0; I != Endpoints; ++I) {
     EndpointConfiguration Endpoint;
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_SUITE(OwnershipOfSlots)
 
 BOOST_AUTO_TEST_CASE(GivesEachSlotToOneDispatcherOfItsDataCentre) {
-  DispatchConfiguration Configuration = makeConfiguration(20);
+  ConfigurationBody Configuration = makeConfiguration(20);
   MembersUpdate Members;
   Members.m_Members = {makeMember("b1", "brisbane"),
                        makeMember("b2", "brisbane"),
@@ -55,7 +55,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(PassesToAnotherDataCentreIfNoneIsLeft) {
-  DispatchConfiguration Configuration = makeConfiguration(20);
+  ConfigurationBody Configuration = makeConfiguration(20);
   MembersUpdate Members;
   Members.m_Members = {makeMember("b1", "brisbane"),
                        makeMember("i1", "ipswich")};
