Http: Answer every malformed request with a problem

POCO's connection answered a malformed head with a bare 400, took a chunked body that was cut short for a whole one, read a POST without Content-Length until the end of the connection and let a trickling body pass its time limit. Transfer codings are refused with 411 (RFC 9112, 6.3): POCO does not tell whether the last chunk came. A slow sender is a 408 in place of a 504.

--- a/Source/Http/Problem.cpp
+++ b/Source/Http/Problem.cpp
@@ -29,12 +29,16 @@
     return 404;
   case FailureCode::MethodNotAllowed:
     return 405;
+  case FailureCode::RequestTimeout:
+    return 408;
   case FailureCode::IdMismatch:
   case FailureCode::ConfigurationConflict:
   case FailureCode::Cancelled:
     return 409;
   case FailureCode::AnswerForgotten:
     return 410;
+  case FailureCode::LengthRequired:
+    return 411;
   case FailureCode::PayloadTooLarge:
     return 413;
   case FailureCode::QuotaExceeded:
--- a/include/auburnhub/Base/Failure.h
+++ b/include/auburnhub/Base/Failure.h
@@ -24,6 +24,8 @@
   UnknownService,        ///< The configuration has no such service.
   UnknownTeam,           ///< The configuration has no such team.
   PayloadTooLarge,       ///< A body or header is over its limit.
+  LengthRequired,        ///< A body comes without Content-Length.
+  RequestTimeout,        ///< The sender of a request is too slow.
   MethodNotAllowed,      ///< The resource does not support the method.
   NotFound,              ///< No such resource.
   QuotaExceeded,         ///< The team has used up its quota.
