--- a/Tests/Entry/EntryFixture.h
+++ b/Tests/Entry/EntryFixture.h
@@ -13,8 +13,8 @@
 
 /// An entry with a control and two dispatchers that the test plays.
 struct EntryFixture {
-  explicit EntryFixture(nlohmann::json Limits = nlohmann::json::object(),
-                        HttpServerOptions Options = {})
+  explicit EntryFixture(const nlohmann::json &Limits = nlohmann::json::object(),
+                        const HttpServerOptions &Options = {})
       : m_Control(m_Timers, "control", "vm-1", "brisbane"),
         m_LocalProcess(std::make_unique<StubProcess>(m_Timers, "dispatch",
                                                      "vm-1", "brisbane")),
@@ -95,7 +95,7 @@
   }
 
   /// Sends a request on a connection and a thread of its own.
-  std::future<HttpResponse> send(HttpRequest Request) {
+  std::future<HttpResponse> send(const HttpRequest &Request) {
     return std::async(std::launch::async, [this, Request] {
       HttpClient Client(m_Server->address());
       auto Response = Client.call(Request, GenerousLimit);
