--- a/Source/Program/Program.cpp
+++ b/Source/Program/Program.cpp
@@ -174,9 +174,13 @@
                 Path == "/v1/status";
   if (!IsPage)
     return std::nullopt;
-  if (Request.m_Method != "GET")
-    return problemResponse({FailureCode::MethodNotAllowed,
-                            "only GET is supported here", "not_run", "", 0});
+  if (Request.m_Method != "GET") {
+    HttpResponse Refusal =
+        problemResponse({FailureCode::MethodNotAllowed,
+                         "only GET is supported here", "not_run", "", 0});
+    Refusal.m_Headers.set("Allow", "GET");
+    return Refusal;
+  }
   if (Path == "/healthz")
     return textPage(200, "alive\n");
   if (Path == "/readyz") {
--- a/include/auburnhub/Program/Program.h
+++ b/include/auburnhub/Program/Program.h
@@ -124,6 +124,7 @@
   if (!Started.ok()) {
     detail::reportFailure(Info, Started);
     Running.stop();
+    Timers.stop();
     return static_cast<int>(failureCode(Started) == FailureCode::BadSettings
                                 ? ExitCode::BadSettings
                                 : ExitCode::CannotStart);
@@ -138,6 +139,7 @@
   if (!Server.ok()) {
     detail::reportFailure(Info, Server.status());
     Running.stop();
+    Timers.stop();
     return static_cast<int>(ExitCode::CannotStart);
   }
   Log ProcessLog("process");
