Coordination: Test the claim table, batches, configuration and members

They found one fault, mended here: a reader that had adopted a peer's record took the record right after it for a gap and held it until it had caught up.

--- a/Source/Coordination/ConfigurationHistory.cpp
+++ b/Source/Coordination/ConfigurationHistory.cpp
@@ -66,7 +66,7 @@
   m_NextOffset = First;
   m_Held.clear();
   m_UnreadableBases.clear();
-  bool IsKnown = m_Accepted && m_Accepted->m_Offset >= First;
+  bool IsKnown = m_Accepted && m_Accepted->m_Offset + 1 >= First;
   m_HeldFrom.reset();
   if (!IsKnown)
     m_HeldFrom = First;
