Control: Make the pulse between controls empty

A pulse follows the heartbeat that it stands for on the same link, so the link says whose it is and of which version. A stopping control no longer shows its dispatcher as ready again after its claims have ended.

--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -112,6 +112,7 @@
 
 void ControlNode::beginStop(std::function<void(bool)> Drained) {
   m_Task.post([this, Drained = std::move(Drained)] {
+    m_IsStopping = true;
     m_Drained = Drained;
     changeSelf([](Member &Self) { Self.m_DispatchReady = false; });
     heartbeat();
@@ -210,7 +211,7 @@
 }
 
 void ControlNode::on(PeerId Peer, const ClaimRequest &Msg) {
-  if (!m_Drained) {
+  if (!m_IsStopping) {
     m_Claims.request(Peer, Msg);
     return;
   }
@@ -229,7 +230,7 @@
     if (Msg.m_Role == "dispatch") {
       Self.m_DispatchAddress = Msg.m_LinkAddress;
       Self.m_DispatchIncarnation = Msg.m_Incarnation;
-      Self.m_DispatchReady = Msg.m_Ready && !m_Drained;
+      Self.m_DispatchReady = Msg.m_Ready && !m_IsStopping;
     }
     if (Msg.m_Role == "entry")
       Self.m_EntryAddress = Msg.m_HttpAddress;
@@ -244,9 +245,10 @@
   publishMembers();
 }
 
-void ControlNode::on(PeerId Peer, const MemberPulse &Msg) {
-  if (!m_Members.alive(Msg.m_Vm, Msg.m_Version, monotonicMilliseconds()))
-    m_Hub.send(Peer, MemberQuery{Msg.m_Vm});
+void ControlNode::on(PeerId Peer, const MemberPulse &) {
+  const std::string &Vm = m_Hub.peers().at(Peer).m_Vm;
+  if (!m_Members.alive(Vm, monotonicMilliseconds()))
+    m_Hub.send(Peer, MemberQuery{});
 }
 
 void ControlNode::on(PeerId Peer, const MemberQuery &) {
@@ -297,7 +299,7 @@
                 !std::includes(Sent.m_Known.begin(), Sent.m_Known.end(),
                                Known.begin(), Known.end());
   if (!IsNews) {
-    m_Hub.send(Peer, MemberPulse{Self.m_Vm, Self.m_Version});
+    m_Hub.send(Peer, MemberPulse{});
     return;
   }
   m_Hub.send(Peer, Heartbeat{Self, {Known.begin(), Known.end()}});
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -88,7 +88,8 @@
   std::map<PeerId, SentHeartbeat> m_Sent;
   std::int64_t m_BehindSinceMs = 0; ///< 0: no peer has a newer configuration.
   bool m_IsPlatformUp = true;
-  std::function<void(bool)> m_Drained; ///< Set while the process stops.
+  bool m_IsStopping = false;
+  std::function<void(bool)> m_Drained; ///< Set until claims have ended.
   std::vector<TimerService::Subscription> m_Subscriptions;
 
   Gauge &m_MemberCount;
--- a/Source/Coordination/MemberView.cpp
+++ b/Source/Coordination/MemberView.cpp
@@ -35,10 +35,9 @@
     m_Changes.push_back({true, What});
 }
 
-bool MemberView::alive(std::string_view Vm, std::uint64_t Version,
-                       std::int64_t NowMs) {
+bool MemberView::alive(std::string_view Vm, std::int64_t NowMs) {
   auto Found = m_Members.find(Vm);
-  if (Found == m_Members.end() || Found->second.m_Member.m_Version != Version)
+  if (Found == m_Members.end())
     return false;
   Known &Into = Found->second;
   Into.m_HeardMs = NowMs;
--- a/Tests/Coordination/MemberViewTest.cpp
+++ b/Tests/Coordination/MemberViewTest.cpp
@@ -34,19 +34,19 @@
   BOOST_TEST(m_View.update().m_Members.at(1).m_DispatchReady);
   m_View.expire(1000);
   BOOST_TEST(!m_View.update().m_Members.at(1).m_DispatchReady);
-  BOOST_TEST(m_View.alive("a", 1, 1500));
+  BOOST_TEST(m_View.alive("a", 1500));
   m_View.expire(1500);
   BOOST_TEST(m_View.update().m_Members.at(1).m_DispatchReady);
   m_View.expire(3500);
   BOOST_TEST(m_View.update().m_Members.size() == 1u);
   BOOST_TEST(!m_View.takeChanges().at(0).m_IsUp);
-  BOOST_TEST(!m_View.alive("a", 1, 3600));
+  BOOST_TEST(!m_View.alive("a", 3600));
 }
 
-BOOST_AUTO_TEST_CASE(TakesNoSignOfLifeForAnotherVersion) {
+BOOST_AUTO_TEST_CASE(TakesNoSignOfLifeOfAnUnknownMember) {
   m_View.heard(makeMember("a", 2), 0);
-  BOOST_TEST(!m_View.alive("a", 3, 1));
-  BOOST_TEST(!m_View.alive("b", 2, 1));
+  BOOST_TEST(m_View.alive("a", 1));
+  BOOST_TEST(!m_View.alive("b", 1));
 }
 
 BOOST_AUTO_TEST_CASE(ForgetsAddressesThatNobodyAnswersAt) {
--- a/include/auburnhub/Coordination/MemberView.h
+++ b/include/auburnhub/Coordination/MemberView.h
@@ -41,9 +41,9 @@
   /// Takes a member's description, from itself or relayed.
   void heard(const Member &What, std::int64_t NowMs);
 
-  /// Takes a sign of life without a description. Returns false if the version
-  /// is not the one known, so that the description is needed.
-  bool alive(std::string_view Vm, std::uint64_t Version, std::int64_t NowMs);
+  /// Takes a sign of life: what was heard before still holds. Returns false if
+  /// the member is not known, so that its description is needed.
+  bool alive(std::string_view Vm, std::int64_t NowMs);
 
   /// Takes a control address learned from a peer or the platform.
   void learnAddress(const std::string &ControlAddress, std::int64_t NowMs);
--- a/include/auburnhub/Messages/Messages.h
+++ b/include/auburnhub/Messages/Messages.h
@@ -269,23 +269,17 @@
   }
 };
 
-/// Control to control in place of Heartbeat while nothing has changed since the
-/// Heartbeat sent before on the same link.
+/// Control to control in place of Heartbeat: the Heartbeat sent before on the
+/// same link still holds.
 struct MemberPulse {
   static constexpr std::string_view TypeName = "pulse";
-  std::string m_Vm;
-  std::uint64_t m_Version = 0;
-  template <typename Visitor> void fields(Visitor &V) {
-    V("vm", m_Vm);
-    V("version", m_Version);
-  }
+  template <typename Visitor> void fields(Visitor &) {}
 };
 
 /// The answer to a MemberPulse of a member whose description is not known.
 struct MemberQuery {
   static constexpr std::string_view TypeName = "member_query";
-  std::string m_Vm;
-  template <typename Visitor> void fields(Visitor &V) { V("vm", m_Vm); }
+  template <typename Visitor> void fields(Visitor &) {}
 };
 
 /// Control to the local processes: the members that answer heartbeats (this VM
