Tests: Read the event that the processes log for a configuration in force

The history checker looked for config_in_force in the processes' logs, while they write configuration_in_force, so it would have seen no configuration at all. PathTest now demands a report from each of them, and a start for each task.

--- a/Tests/System/PathTest.cpp
+++ b/Tests/System/PathTest.cpp
@@ -19,10 +19,16 @@
   return std::move(*Started);
 }
 
-void checkHolds(const Cluster &Run, const RecordingCaller &Caller) {
+constexpr std::size_t TasksOfAJob = 100;
+
+History collect(const Cluster &Run, const RecordingCaller &Caller) {
   History Seen = Caller.history();
   absl::Status Collected = Run.collect(Seen);
   BOOST_TEST_REQUIRE(Collected.ok(), Collected.ToString());
+  return Seen;
+}
+
+void checkHolds(const History &Seen) {
   for (const Violation &Found : checkHistory(Seen))
     BOOST_ERROR(violationName(Found.m_Kind)
                 << " " << Found.m_Subject << ": " << Found.m_Detail);
@@ -44,14 +50,18 @@
     BOOST_TEST(Answered->m_Status == 200, Answered->m_Body);
     CallerSubmission Job;
     Job.m_Kind = SubmissionKind::Job;
-    for (int Task = 0; Task < 100; ++Task)
+    for (std::size_t Task = 0; Task < TasksOfAJob; ++Task)
       Job.m_Bodies.push_back("job-" + std::to_string(Vm) + "-" +
                              std::to_string(Task));
     auto Done = Caller.submit(Address, Job);
     BOOST_TEST_REQUIRE(Done.ok(), Done.status().ToString());
     BOOST_TEST(Done->m_Status == 200, Done->m_Body);
   }
-  checkHolds(*Running, Caller);
+  const History Seen = collect(*Running, Caller);
+  const std::size_t Vms = Running->vms().size();
+  BOOST_TEST(Seen.m_Starts.size() == Vms * (1 + TasksOfAJob));
+  BOOST_TEST(Seen.m_Configurations.size() >= Vms * 3);
+  checkHolds(Seen);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/System/Support/History.cpp
+++ b/Tests/System/Support/History.cpp
@@ -13,6 +13,9 @@
 
 using Json = nlohmann::json;
 
+/// What the processes log when they put a configuration in force.
+constexpr const char *LogEvent = "configuration_in_force";
+
 std::int64_t timeOf(const Json &Line) { return Line.at("time_ms"); }
 
 Invocation readInvocation(const Json &Line) {
@@ -139,7 +142,7 @@
 
 absl::Status History::addLogLine(std::string_view Text, int Life) {
   Json Line = Json::parse(Text, nullptr, false);
-  if (!Line.is_object() || Line.value("event", Json()) != "config_in_force")
+  if (!Line.is_object() || Line.value("event", Json()) != LogEvent)
     return absl::OkStatus();
   try {
     m_Configurations.push_back(
--- a/Tests/System/Support/HistoryCheckerTest.cpp
+++ b/Tests/System/Support/HistoryCheckerTest.cpp
@@ -153,8 +153,8 @@
   BOOST_TEST(Run.addLogLine("no JSON", 0).ok());
   BOOST_TEST(Run.addLogLine(R"({"event":"answer"})", 0).ok());
   BOOST_TEST(Run.addLogLine(
-                    R"({"event":"config_in_force","vm":"v","process":"entry",
-                        "offset":4,"time":"1970-01-01T00:00:02.345Z"})",
+                    R"({"event":"configuration_in_force","vm":"v",
+                        "process":"entry","offset":4,"time":"1970-01-01T00:00:02.345Z"})",
                     3)
                  .ok());
   BOOST_TEST_REQUIRE(Run.m_Configurations.size() == 1U);
--- a/Tests/System/Support/RecordingCaller.cpp
+++ b/Tests/System/Support/RecordingCaller.cpp
@@ -32,6 +32,7 @@
 
 std::vector<std::string> digests(const std::vector<std::string> &Bodies) {
   std::vector<std::string> Found;
+  Found.reserve(Bodies.size());
   for (const std::string &Body : Bodies)
     Found.push_back(contentDigest(Body));
   return Found;
@@ -45,6 +46,7 @@
   std::vector<std::string> Found;
   if (!Body.is_object() || !Body.contains("results"))
     return Found;
+  Found.reserve(Body["results"].size());
   for (const nlohmann::json &Result : Body["results"])
     Found.push_back(Result.is_string() ? Result.get<std::string>()
                                        : Result.dump());
