Policy: Count slots by their speed when estimating the wait

A light load runs on the fast endpoints only, so that the learned mean run time promised too short waits once the load rose, and tasks were admitted that expired in the queue.

--- a/include/auburnhub/Policy/Scheduler.h
+++ b/include/auburnhub/Policy/Scheduler.h
@@ -167,6 +167,7 @@
   /// What an endpoint adds to its service's sums.
   struct Counted {
     int m_Slots = 0;
+    double m_Speed = 0;
     bool m_Present = false;
     bool m_Unhealthy = false;
   };
--- a/include/auburnhub/Policy/SchedulerEndpointsImpl.h
+++ b/include/auburnhub/Policy/SchedulerEndpointsImpl.h
@@ -307,7 +307,9 @@
   HealthState Health = E.m_Record.health();
   bool Used = !E.m_Record.leaving() && Health != HealthState::Ejected;
   int Slots = Used ? E.m_Record.slots() : 0;
-  count(S, E, {Slots, E.m_Record.slots() > 0, Health != HealthState::Healthy});
+  count(S, E,
+        {Slots, Slots / E.m_Record.estimate().slowness(),
+         E.m_Record.slots() > 0, Health != HealthState::Healthy});
 }
 
 /// Replaces what an endpoint adds to its service's sums.
@@ -315,6 +317,7 @@
 void Scheduler<Placement>::count(Service &S, Endpoint &E, const Counted &Is) {
   const Counted &Was = E.m_Counted;
   S.m_Slots += Is.m_Slots - Was.m_Slots;
+  S.m_Speed += Is.m_Speed - Was.m_Speed;
   S.m_Present += Is.m_Present;
   S.m_Present -= Was.m_Present;
   S.m_Usable += Is.m_Slots > 0;
--- a/include/auburnhub/Policy/ServiceState.h
+++ b/include/auburnhub/Policy/ServiceState.h
@@ -46,10 +46,15 @@
     return Guaranteed < m_Slots || !m_LastWasLong;
   }
 
-  /// Returns how many slots a class can expect to use.
+  /// Returns the speed of the mean slot, relative to the learned run times.
+  double meanSpeed() const { return m_Slots > 0 ? m_Speed / m_Slots : 1; }
+
+  /// Returns how many slots a class can expect to use, each counted by its
+  /// speed. The learned run times alone would mislead when the load rises: they
+  /// come from the fast endpoints that a light load uses.
   double capacity(TaskClass Class, const PolicyParameters &Parameters) const {
-    int All = std::max(m_Slots, m_ExpectedSlots);
-    double Slots = Class == TaskClass::Short ? All - m_RunningLong
+    double All = std::max(m_Slots, m_ExpectedSlots) * meanSpeed();
+    double Slots = Class == TaskClass::Short ? All - m_RunningLong * meanSpeed()
                                              : Parameters.m_LongShare * All;
     return std::max(Slots, 1.0);
   }
@@ -76,6 +81,7 @@
   std::string m_Name;
   std::set<std::size_t> m_Endpoints;
   int m_Slots = 0;           ///< Of endpoints that are to be used.
+  double m_Speed = 0;        ///< Of these slots, each over its slowness.
   int m_ExpectedSlots = 0;   ///< Including loans; for admission.
   std::size_t m_Present = 0; ///< Endpoints with slots.
   std::size_t m_Usable = 0;  ///< Of these, the ones to be used.
