Policy: Compare endpoints against the geometric mean of a kind

The median of a histogram is exact to a bin's width only, so that equal endpoints looked faster than they are and admission counted on speed that is not there. The geometric mean needs no bins and leaves no such bias.

--- a/Source/Policy/RunTimeModel.cpp
+++ b/Source/Policy/RunTimeModel.cpp
@@ -27,6 +27,7 @@
   m_Histogram(Bounded);
   m_Weight += 1;
   m_SumMs += Bounded;
+  m_SumLog += std::log(Bounded);
 }
 
 void RunTimeModel::decay(TimePoint Now) {
@@ -37,6 +38,7 @@
   m_Histogram *= Factor;
   m_Weight *= Factor;
   m_SumMs *= Factor;
+  m_SumLog *= Factor;
   m_DecayedAt = Now;
 }
 
@@ -44,6 +46,10 @@
   return m_Weight > 0 ? m_SumMs / m_Weight : 0;
 }
 
+double RunTimeModel::geometricMeanMs() const {
+  return m_Weight > 0 ? std::exp(m_SumLog / m_Weight) : 0;
+}
+
 double RunTimeModel::quantileMs(double Quantile) const {
   if (m_Weight <= 0)
     return 0;
--- a/Source/Policy/WorkModel.cpp
+++ b/Source/Policy/WorkModel.cpp
@@ -116,6 +116,7 @@
   double MedianMs = E.m_Model.quantileMs(MedianQuantile);
   double FinishMs = E.m_Model.quantileMs(m_Parameters.m_FinishQuantile);
   E.m_Estimate.m_MedianMs = MedianMs;
+  E.m_Estimate.m_TypicalMs = E.m_Model.geometricMeanMs();
   E.m_FinishMs = std::min(FinishMs, MedianMs * m_Parameters.m_MaxFinishFactor);
 }
 
--- a/Tests/Policy/SchedulerTest.cpp
+++ b/Tests/Policy/SchedulerTest.cpp
@@ -98,6 +98,33 @@
               FailureCode::Overloaded));
 }
 
+BOOST_AUTO_TEST_CASE(LeavesTimeToEndOnASlowEndpoint) {
+  setSlots({1});
+  TaskKey Key = 0;
+  while (Key < 40) {
+    ++Key;
+    runOne(Key, "check", Key % 10 == 0 ? 200 : 100);
+  }
+  (void)admit(100, "check");
+  (void)place();
+  BOOST_TEST(admit(101, "check", "club-desk", 1000).ok());
+  advance(700);
+  BOOST_TEST(m_Scheduler.expire(m_Now).empty());
+  advance(150); // The median alone would let it start until 900 ms.
+  BOOST_TEST(m_Scheduler.expire(m_Now).size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(CountsOnTheSlotsThatItExpectsToBorrow) {
+  setSlots({1});
+  for (TaskKey Key = 1; Key <= 10; ++Key)
+    runOne(Key, "check", 100);
+  m_Scheduler.setExpectedSlots(m_Now, "tiles", 10);
+  TaskKey Key = 100;
+  while (admit(Key, "check", "club-desk", 1000).ok())
+    ++Key;
+  BOOST_TEST(Key >= 150u);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesAJobWhole) {
   const TeamSpec Teams[] = {{"club-desk", 1, 2}};
   m_Scheduler.setTeams(Teams);
--- a/include/auburnhub/Policy/EndpointEstimate.h
+++ b/include/auburnhub/Policy/EndpointEstimate.h
@@ -12,7 +12,8 @@
 /// is bounded, so that one straggler does not condemn an endpoint.
 class EndpointEstimate {
 public:
-  /// Adds a run time. ExpectedMs is the kind's median over all endpoints;
+  /// Adds a run time. ExpectedMs is the kind's geometric mean over all
+  /// endpoints;
   /// Smoothing, in (0, 1], is the weight of the new sample.
   void record(double RunTimeMs, double ExpectedMs, double Smoothing);
 
--- a/include/auburnhub/Policy/RunTimeModel.h
+++ b/include/auburnhub/Policy/RunTimeModel.h
@@ -29,6 +29,10 @@
   /// Returns the mean run time in milliseconds, or 0 without entries.
   double meanMs() const;
 
+  /// Returns the geometric mean of the run times in milliseconds, or 0 without
+  /// entries.
+  double geometricMeanMs() const;
+
   /// Returns the run time that the share Quantile of the entries stays below,
   /// in milliseconds and within the width of a bin; 0 without entries.
   double quantileMs(double Quantile) const;
@@ -46,6 +50,7 @@
   Histogram m_Histogram;
   double m_Weight = 0;
   double m_SumMs = 0;
+  double m_SumLog = 0;
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Policy/SchedulerTasksImpl.h
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -234,10 +234,11 @@
                                  TaskResult Result) {
   WorkModel &Work = m_Services[T.m_Service].m_Work;
   double RunMs = millisecondsBetween(T.m_StartedAt, Now);
-  double MedianMs = Work.estimate(Now, T.m_Request.m_Kind).m_MedianMs;
+  WorkEstimate Estimate = Work.estimate(Now, T.m_Request.m_Kind);
+  double MedianMs = Estimate.m_MedianMs;
   if (Result == TaskResult::Ok) {
     m_Endpoints[T.m_Endpoint]->m_Record.estimate().record(
-        RunMs, MedianMs, m_Parameters.m_SpeedSmoothing);
+        RunMs, Estimate.m_TypicalMs, m_Parameters.m_SpeedSmoothing);
     Work.record(Now, T.m_Request.m_Kind, RunMs);
   }
   // A task that was cut off after more than the median would have run longer.
--- a/include/auburnhub/Policy/WorkModel.h
+++ b/include/auburnhub/Policy/WorkModel.h
@@ -15,6 +15,9 @@
   TaskClass m_Class = TaskClass::Short;
   double m_MeanMs = 0;   ///< 0 while nothing is known.
   double m_MedianMs = 0; ///< 0 while nothing is known.
+  /// The geometric mean, against which endpoints are compared; 0 while nothing
+  /// is known.
+  double m_TypicalMs = 0;
   /// The median if tasks of this kind ended lately, or 0: only this may decide
   /// that a task cannot meet its deadline, so that a kind that is refused is
   /// tried again.
