Dispatch: Tell entries of a drain before the dispatcher ends

Cause: an entry learned of a stopping dispatcher only through control, up to a heartbeat later. A call sent in between met a closed link and was answered 'unknown', or was refused although other dispatchers could take it.

Now a dispatcher that drains tells its entries at once and ends only after each has confirmed (links keep their order), or is gone, or 5 s have passed. A call that was refused for the drain is passed on to another dispatcher, except for the tickets of the one that drains.

Ruled out: waiting a fixed time, which is either too long or too short.

--- a/Source/Dispatch/DispatchRole.cpp
+++ b/Source/Dispatch/DispatchRole.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds StatusPeriod{1000};
 constexpr Milliseconds StatusPageLimit{2000};
 constexpr Milliseconds DrainCheckPeriod{20};
+/// How long a drain waits for entries that do not answer, such as paused ones.
+constexpr Milliseconds DrainingSeenLimit{5000};
 
 Hello makeHello(const ProcessContext &Context, const Address &Link) {
   Hello Self;
@@ -55,6 +57,8 @@
   void onMembers(const MembersUpdate &Msg);
   void applyView();
   void sendStatus();
+  void announceDraining(PeerId To);
+  bool allEntriesKnow() const;
   void checkDrained(MonotonicTime Limit);
   std::optional<PeerId> findPeer(std::string_view Role,
                                  Incarnation Wanted) const;
@@ -72,6 +76,9 @@
   MembersUpdate m_Members;
   std::atomic<bool> m_Ready{false};
   bool m_Draining = false;
+  MonotonicTime m_DrainBegin;
+  /// Entries that may still send new work.
+  std::set<PeerId> m_Unaware;
   std::function<void(bool)> m_Drained;
   std::vector<TimerService::Subscription> m_Timers;
 };
@@ -153,6 +160,8 @@
 void DispatchRole::Impl::onPeerUp(PeerId Peer, const Hello &Greeting) {
   bool IsOurControl =
       Greeting.m_Role == "control" && Greeting.m_Vm == m_Context.m_Common.m_Vm;
+  if (m_Draining && Greeting.m_Role == "entry")
+    announceDraining(Peer);
   if (!IsOurControl)
     return;
   m_Control = Peer;
@@ -160,6 +169,7 @@
 }
 
 void DispatchRole::Impl::onPeerDown(PeerId Peer, const Hello &) {
+  m_Unaware.erase(Peer);
   m_Dispatcher->onPeerDown(Peer);
   m_Lending->onPeerDown(Peer);
   if (m_Control != Peer)
@@ -208,6 +218,8 @@
     m_Dispatcher->cancel(From, Msg);
   }) || Try.operator()<CancelReply>([&](const CancelReply &Msg) {
     m_Dispatcher->onForwardedCancelReply(From, Msg);
+  }) || Try.operator()<DrainingSeen>([&](const DrainingSeen &) {
+    m_Unaware.erase(From);
   }) ||
                  Try.operator()<ConfigurationUpdate>(
                      [&](const ConfigurationUpdate &Msg) {
@@ -345,7 +357,11 @@
   m_Ready = false;
   m_Task.post([this, Drained = std::move(Drained)] {
     m_Draining = true;
+    m_DrainBegin = TimerService::now();
     m_Drained = Drained;
+    for (const auto &[Peer, Greeting] : m_Hub->peers())
+      if (Greeting.m_Role == "entry")
+        announceDraining(Peer);
     m_Dispatcher->beginDrain();
     m_Lending->beginDrain();
     sendStatus();
@@ -356,8 +372,18 @@
   });
 }
 
+void DispatchRole::Impl::announceDraining(PeerId To) {
+  m_Unaware.insert(To);
+  m_Hub->send(To, Draining());
+}
+
+bool DispatchRole::Impl::allEntriesKnow() const {
+  return m_Unaware.empty() ||
+         TimerService::now() - m_DrainBegin >= DrainingSeenLimit;
+}
+
 void DispatchRole::Impl::checkDrained(MonotonicTime Limit) {
-  if (m_Dispatcher->isIdle()) {
+  if (m_Dispatcher->isIdle() && allEntriesKnow()) {
     m_Drained(true);
     return;
   }
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -338,6 +338,7 @@
   Reply.m_Detail = Detail;
   Reply.m_RetryAfterMs = RetryAfterMs;
   Reply.m_OwnerVm = m_Vm;
+  Reply.m_AskAnother = Code == FailureCode::ShuttingDown;
   m_Log.info("refused", {{"submission", Msg.m_Id.isNil() ? "" : Msg.m_Id.str()},
                          {"team", Msg.m_Team},
                          {"service", Msg.m_Service},
--- a/Source/Entry/CallRouter.cpp
+++ b/Source/Entry/CallRouter.cpp
@@ -11,6 +11,8 @@
 /// dispatcher's own word on a timeout, which knows more, comes first.
 constexpr Milliseconds AnswerGrace{250};
 constexpr Milliseconds StatusPeriod{1000};
+/// How often a call is passed on from a dispatcher that drains.
+constexpr int MaxReroutes = 3;
 /// Bounds of Retry-After, spread so that refused callers do not come back
 /// together.
 constexpr std::int64_t ShortestRetryMs = 500;
@@ -102,9 +104,10 @@
 std::future<CallResult> CallRouter::call(CallerRequest Request) {
   std::promise<CallResult> Promise;
   std::future<CallResult> Result = Promise.get_future();
-  m_Task.post([this, Request = std::move(Request), Promise = std::move(Promise),
+  auto Shared = std::make_shared<const CallerRequest>(std::move(Request));
+  m_Task.post([this, Shared = std::move(Shared), Promise = std::move(Promise),
                Received = TimerService::now()]() mutable {
-    accept(Request, Received, std::move(Promise));
+    accept(std::move(Shared), Received, std::move(Promise));
   });
   return Result;
 }
@@ -144,14 +147,24 @@
   m_Task.stop();
 }
 
-void CallRouter::accept(const CallerRequest &Request, MonotonicTime Received,
+void CallRouter::accept(std::shared_ptr<const CallerRequest> Shared,
+                        MonotonicTime Received,
                         std::promise<CallResult> Promise) {
+  const CallerRequest &Request = *Shared;
   absl::Status Checked = check(Request);
   if (Checked.ok()) {
     absl::StatusOr<ChosenDispatcher> Chosen =
         m_Choice.choose(m_View, Request.m_Id, m_Random);
     if (Chosen.ok()) {
-      forward(Request, Received, *Chosen, std::move(Promise));
+      WaitingCall Call;
+      Call.m_Action = Request.m_Action;
+      Call.m_Id = Request.m_Id;
+      Call.m_Request = std::move(Shared);
+      Call.m_Received = Received;
+      Call.m_Done = [Promise = std::move(Promise)](CallReply Reply) mutable {
+        Promise.set_value({std::move(Reply), true});
+      };
+      forward(std::move(Call), *Chosen);
       return;
     }
     Checked = Chosen.status();
@@ -196,21 +209,15 @@
           isWorthRetrying(Code) ? Spread(m_Random) : 0};
 }
 
-void CallRouter::forward(const CallerRequest &Request, MonotonicTime Received,
-                         const ChosenDispatcher &Chosen,
-                         std::promise<CallResult> Promise) {
+void CallRouter::forward(WaitingCall Call, const ChosenDispatcher &Chosen) {
+  std::shared_ptr<const CallerRequest> Shared = Call.m_Request;
+  const CallerRequest &Request = *Shared;
   Milliseconds Timeout =
       Request.m_Timeout.value_or(m_Configuration.m_DefaultTimeout);
-  auto Spent =
-      std::chrono::duration_cast<Milliseconds>(TimerService::now() - Received);
+  auto Spent = std::chrono::duration_cast<Milliseconds>(TimerService::now() -
+                                                        Call.m_Received);
   Milliseconds Left = std::max(Timeout - Spent, Milliseconds(1));
-  WaitingCall Call;
-  Call.m_Action = Request.m_Action;
   Call.m_Peer = m_View[Chosen.m_Index].m_Peer;
-  Call.m_Id = Request.m_Id;
-  Call.m_Done = [Promise = std::move(Promise)](CallReply Reply) mutable {
-    Promise.set_value({std::move(Reply), true});
-  };
   PeerId To = Call.m_Peer;
   CallNumber Number = m_Calls.add(std::move(Call));
   m_Calls.find(Number)->m_Timer = m_Context.m_Timers.once(
@@ -268,6 +275,7 @@
 }
 
 void CallRouter::onPeerDown(PeerId Peer, const Hello &Greeting) {
+  m_DrainingPeers.erase(Peer);
   if (Peer == m_ControlPeer)
     m_ControlPeer = 0;
   std::vector<CallNumber> Lost = m_Calls.callsAt(Peer);
@@ -287,6 +295,8 @@
     onReply<CancelReply>(From, Received);
   } else if (Received.m_Type == MintedTickets::TypeName) {
     onReply<MintedTickets>(From, Received);
+  } else if (Received.m_Type == Draining::TypeName) {
+    onDraining(From);
   } else if (Received.m_Type == Reject::TypeName) {
     onReject(From, Received);
   } else if (From == m_ControlPeer &&
@@ -341,9 +351,40 @@
     refuseReply(From, Match, Decoded->m_Call, Reply::TypeName);
     return;
   }
+  if constexpr (std::same_as<Reply, Answer>)
+    if (reroute(From, *Decoded))
+      return;
   finish(m_Calls.take(Decoded->m_Call), std::move(*Decoded));
 }
 
+bool CallRouter::reroute(PeerId From, const Answer &Received) {
+  if (!Received.m_AskAnother)
+    return false;
+  onDraining(From);
+  const WaitingCall &Refused = *m_Calls.find(Received.m_Call);
+  bool MayAskAnother = !Refused.m_Id.isTicket() && Refused.m_Request &&
+                       Refused.m_Reroutes < MaxReroutes;
+  if (!MayAskAnother)
+    return false;
+  absl::StatusOr<ChosenDispatcher> Chosen =
+      m_Choice.choose(m_View, Refused.m_Id, m_Random);
+  if (!Chosen.ok())
+    return false;
+  WaitingCall Call = std::move(*m_Calls.take(Received.m_Call));
+  m_Context.m_Timers.cancel(Call.m_Timer);
+  countCall(From, -1);
+  ++Call.m_Reroutes;
+  forward(std::move(Call), *Chosen);
+  return true;
+}
+
+void CallRouter::onDraining(PeerId From) {
+  if (!m_DrainingPeers.insert(From).second)
+    return;
+  refreshView();
+  m_Hub.send(From, DrainingSeen());
+}
+
 void CallRouter::onReject(PeerId From, const Envelope &Received) {
   absl::StatusOr<Reject> Decoded = decode<Reject>(Received);
   if (!Decoded.ok())
@@ -439,7 +480,8 @@
     PeerId Peer = Found == Linked.end() ? 0 : Found->second;
     std::size_t Calls = Peer == 0 ? 0 : m_Calls.callsAt(Peer).size();
     m_View.push_back({Each.m_Vm, Each.m_DataCentre, Each.m_DispatchIncarnation,
-                      Each.m_DispatchReady, Peer, Calls});
+                      Each.m_DispatchReady && !m_DrainingPeers.contains(Peer),
+                      Peer, Calls});
   }
   refreshReady();
 }
--- a/Source/Entry/CallRouter.h
+++ b/Source/Entry/CallRouter.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <future>
 #include <random>
+#include <set>
 
 namespace auburnhub {
 
@@ -45,12 +46,12 @@
   void stop();
 
 private:
-  void accept(const CallerRequest &Request, MonotonicTime Received,
-              std::promise<CallResult> Promise);
+  void accept(std::shared_ptr<const CallerRequest> Request,
+              MonotonicTime Received, std::promise<CallResult> Promise);
   absl::Status check(const CallerRequest &Request) const;
-  void forward(const CallerRequest &Request, MonotonicTime Received,
-               const ChosenDispatcher &Chosen,
-               std::promise<CallResult> Promise);
+  void forward(WaitingCall Call, const ChosenDispatcher &Chosen);
+  bool reroute(PeerId From, const Answer &Received);
+  void onDraining(PeerId From);
   CallFailure refusal(const CallerRequest &Request, const absl::Status &Why);
   void logForwarded(const CallerRequest &Request, CallNumber Number,
                     const ChosenDispatcher &Chosen) const;
@@ -92,6 +93,7 @@
   std::vector<Member> m_Members;
   std::vector<DispatcherCandidate> m_View;
   PeerId m_ControlPeer = 0;
+  std::set<PeerId> m_DrainingPeers;
   bool m_Stopping = false;
   std::function<void(bool)> m_Drained;
   std::atomic<bool> m_IsReady{false};
--- a/Source/Entry/CallTable.h
+++ b/Source/Entry/CallTable.h
@@ -10,6 +10,7 @@
 #include <concepts>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -31,6 +32,10 @@
   CallerAction m_Action = CallerAction::Request;
   PeerId m_Peer = 0;
   SubmissionId m_Id; ///< Nil: the call had none.
+  /// What the caller asked for, to ask another dispatcher if this one drains.
+  std::shared_ptr<const CallerRequest> m_Request;
+  MonotonicTime m_Received;
+  int m_Reroutes = 0;
   TimerService::Subscription m_Timer = 0;
   absl::AnyInvocable<void(CallReply)> m_Done;
 };
--- a/include/auburnhub/Messages/Messages.h
+++ b/include/auburnhub/Messages/Messages.h
@@ -88,7 +88,11 @@
   std::int64_t m_RetryAfterMs = 0;
   std::vector<Bytes> m_Results;
   std::string m_OwnerVm;
+  /// The sender drains and did nothing with the submission, so that another
+  /// dispatcher may be asked for all but its own tickets.
+  bool m_AskAnother = false;
   template <typename Visitor> void fields(Visitor &V) {
+    V("ask_another", m_AskAnother);
     V("call", m_Call);
     V("id", m_Id);
     V("outcome", m_Outcome);
@@ -100,6 +104,20 @@
   }
 };
 
+/// Dispatcher to entry: I drain, send me nothing new but what concerns my
+/// submissions. Links keep their order, so once the entry's DrainingSeen has
+/// arrived nothing new follows it.
+struct Draining {
+  static constexpr std::string_view TypeName = "draining";
+  template <typename Visitor> void fields(Visitor &) {}
+};
+
+/// The answer to Draining.
+struct DrainingSeen {
+  static constexpr std::string_view TypeName = "draining_seen";
+  template <typename Visitor> void fields(Visitor &) {}
+};
+
 /// Asks for the cancellation of a submission; Answer to Submit still follows.
 struct Cancel {
   static constexpr std::string_view TypeName = "cancel";
