--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <future>
+#include <iterator>
 
 namespace auburnhub {
 namespace {
@@ -295,15 +296,17 @@
                                 const std::set<std::string> &Known) {
   const Member &Self = m_Members.self();
   SentHeartbeat &Sent = m_Sent[Peer];
-  bool IsNews = Sent.m_Version != Self.m_Version ||
-                !std::includes(Sent.m_Known.begin(), Sent.m_Known.end(),
-                               Known.begin(), Known.end());
-  if (!IsNews) {
+  Heartbeat Msg;
+  Msg.m_Self = Self;
+  std::set_difference(Known.begin(), Known.end(), Sent.m_Known.begin(),
+                      Sent.m_Known.end(), std::back_inserter(Msg.m_Known));
+  if (Sent.m_Version == Self.m_Version && Msg.m_Known.empty()) {
     m_Hub.send(Peer, MemberPulse{});
     return;
   }
-  m_Hub.send(Peer, Heartbeat{Self, {Known.begin(), Known.end()}});
-  Sent = {Self.m_Version, Known};
+  m_Hub.send(Peer, Msg);
+  Sent.m_Version = Self.m_Version;
+  Sent.m_Known.insert(Msg.m_Known.begin(), Msg.m_Known.end());
 }
 
 std::map<std::string, PeerId> ControlNode::controlLinks() const {
--- a/Tests/Coordination/ClaimBatcherTest.cpp
+++ b/Tests/Coordination/ClaimBatcherTest.cpp
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <array>
 #include <map>
+#include <unordered_set>
 
 using namespace auburnhub;
 
@@ -58,7 +60,7 @@
 private:
   void request(int Who) {
     Claim What = makeClaim(*rc::gen::inRange<std::uint64_t>(0, 6),
-                           static_cast<Incarnation>(Who + 1));
+                           static_cast<Incarnation>(Who) + 1);
     int Call = m_Calls++;
     if (m_Known[Who].contains(What.m_Id)) {
       ++m_Told[Call];
@@ -85,7 +87,7 @@
     if (m_Read[Who] == m_Log.size())
       return;
     const Claim &Next = m_Log[m_Read[Who]++];
-    m_Known[Who].try_emplace(Next.m_Id, Next.m_Incarnation);
+    m_Known[Who].insert(Next.m_Id);
     for (int Call : m_Batchers[Who].decide(Next.m_Id))
       ++m_Told[Call];
   }
@@ -93,7 +95,7 @@
   std::vector<Claim> m_Log;
   std::array<ClaimBatcher<int>, BatcherCount> m_Batchers;
   std::array<std::size_t, BatcherCount> m_Read{};
-  std::array<std::map<SubmissionId, Incarnation>, BatcherCount> m_Known;
+  std::array<std::unordered_set<SubmissionId>, BatcherCount> m_Known;
   std::map<int, int> m_Told; ///< Call to the number of times it was told.
   int m_Calls = 0;
 };
--- a/include/auburnhub/Messages/Messages.h
+++ b/include/auburnhub/Messages/Messages.h
@@ -261,7 +261,8 @@
 struct Heartbeat {
   static constexpr std::string_view TypeName = "heartbeat";
   Member m_Self;
-  /// Control addresses of other members, so that a newcomer finds them all.
+  /// Control addresses of other members, so that a newcomer finds them all;
+  /// only those not sent before on this link.
   std::vector<std::string> m_Known;
   template <typename Visitor> void fields(Visitor &V) {
     V("self", m_Self);
