Coordination: Accept nothing before the anchor of a trimmed log

A reader that joined after trimming took losers of races with base -1 as accepted until it met the renewal: the last record was right, the log lines were not, and with an anchor of an unreadable schema the loser would have stayed. Seen in a run of two controls with a stream that keeps 10 records; the property only compared the final offset.

--- a/Source/Coordination/ConfigurationHistory.cpp
+++ b/Source/Coordination/ConfigurationHistory.cpp
@@ -112,14 +112,16 @@
   m_HeldFrom.reset();
   bool IsAnchored = LargestBase <= offset();
   for (Candidate &What : std::exchange(m_Held, {})) {
-    if (!IsAnchored && What.m_Record.m_Base == LargestBase) {
-      IsAnchored = true;
-      Decisions.push_back(describe(ConfigurationVerdict::Accepted,
-                                   What.m_Offset, What.m_Record));
-      accept(std::move(What));
+    if (IsAnchored) {
+      Decisions.push_back(decide(std::move(What)));
       continue;
     }
-    Decisions.push_back(decide(std::move(What)));
+    IsAnchored = What.m_Record.m_Base == LargestBase;
+    Decisions.push_back(describe(IsAnchored ? ConfigurationVerdict::Accepted
+                                            : ConfigurationVerdict::Conflict,
+                                 What.m_Offset, What.m_Record));
+    if (IsAnchored)
+      accept(std::move(What));
   }
   return Decisions;
 }
--- a/Tests/Coordination/ConfigurationHistoryTest.cpp
+++ b/Tests/Coordination/ConfigurationHistoryTest.cpp
@@ -115,6 +115,23 @@
       (apply(Second, 2, makeRecord("c", 1)) == ConfigurationVerdict::Accepted));
 }
 
+BOOST_AUTO_TEST_CASE(AcceptsNothingBeforeTheAnchorOfATrimmedLog) {
+  ConfigurationHistory History;
+  History.beginPage(5);
+  apply(History, 5, makeRecord("loser", -1));
+  apply(History, 6, makeRecord("winner", 3));
+  auto Decisions = History.caughtUp();
+  BOOST_TEST((Decisions.at(0).m_Verdict == ConfigurationVerdict::Conflict));
+  BOOST_TEST((Decisions.at(1).m_Verdict == ConfigurationVerdict::Accepted));
+
+  ConfigurationHistory Older;
+  Older.beginPage(5);
+  apply(Older, 5, makeRecord("loser", -1));
+  apply(Older, 6, makeRecord("unreadable", 3, 9));
+  Older.caughtUp();
+  BOOST_TEST(!Older.accepted().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AgreesWithTheWholeLogWhereverItWasTrimmed) {
   bool Holds = rc::check([] {
     std::vector<nlohmann::json> Log = drawLog();
