Ctl: Add the operators' command line

auburnhub-ctl checks, publishes, shows, compares and lists configuration, shows the status of processes and the members that controls see, explains a submission from its decision lines and prints the state charts.

--- a/Source/Base/StateChart.cpp
+++ b/Source/Base/StateChart.cpp
@@ -106,9 +106,10 @@
     Into.push_back(std::move(Result));
   }
 
-  static bool offers(const std::vector<std::string> &Names,
-                     const std::string &Name) {
-    return std::find(Names.begin(), Names.end(), Name) != Names.end();
+  bool offers(const std::vector<std::string> &Names,
+              const std::string &Name) const {
+    return m_Offered.m_OffersAll ||
+           std::find(Names.begin(), Names.end(), Name) != Names.end();
   }
 
   std::optional<StateChart::EventId> findEvent(const YAML::Node &Node) {
--- /dev/null
+++ b/Source/Ctl/ExplainCommand.h
@@ -0,0 +1,25 @@
+#ifndef AUBURNHUB_SOURCE_CTL_EXPLAINCOMMAND_H
+#define AUBURNHUB_SOURCE_CTL_EXPLAINCOMMAND_H
+
+#include "auburnhub/Ctl/Command.h"
+
+namespace auburnhub {
+
+/// Explains one submission.
+class ExplainCommand {
+public:
+  static constexpr std::string_view Name = "explain";
+  static constexpr std::string_view Arguments = "ID";
+  static constexpr std::string_view Summary =
+      "Say what became of a submission and why, from its decision lines.";
+
+  void addOptions(boost::program_options::options_description &To);
+  CtlExit run(const std::vector<std::string> &Words, const Console &Terminal);
+
+private:
+  std::vector<std::string> m_Logs;
+};
+
+} // namespace auburnhub
+
+#endif
--- a/include/auburnhub/Base/StateChart.h
+++ b/include/auburnhub/Base/StateChart.h
@@ -31,6 +31,8 @@
   struct Vocabulary {
     std::vector<std::string> m_Guards;
     std::vector<std::string> m_Actions;
+    /// Offers every name, for a reader that does not run the chart.
+    bool m_OffersAll = false;
   };
 
   struct Transition {
