--- a/Source/Ctl/ConfigurationReader.cpp
+++ b/Source/Ctl/ConfigurationReader.cpp
@@ -2,9 +2,9 @@
 
 namespace auburnhub {
 
-void ConfigurationReader::take(const StreamPage &Page) {
+void ConfigurationReader::take(const RecordPage &Page) {
   m_History.beginPage(Page.m_First);
-  for (const StreamRecord &Record : Page.m_Records) {
+  for (const StoredRecord &Record : Page.m_Records) {
     ConfigurationDecision Decision =
         m_History.apply(Record.m_Offset, Record.m_Data);
     m_Records[Record.m_Offset] = {Record.m_TimeMs, Record.m_Data,
--- a/Source/Ctl/Explanation.cpp
+++ b/Source/Ctl/Explanation.cpp
@@ -16,10 +16,14 @@
     {"admitted", "admitted the submission of the team {team} for {service}"},
     {"answered", "answered with the outcome {outcome}"},
     {"cancelled", "cancelled the submission"},
+    {"claim_failed", "could not claim the id"},
     {"claim_lost", "lost the claim of the id to incarnation {winner}"},
+    {"claim_refused", "could not decide who owns the id"},
     {"claim_won", "won the claim of the id and may start it"},
     {"expired", "gave up because the caller's timeout passed"},
     {"forwarded", "forwarded the submission"},
+    {"forwarded_to_owner", "passed it on to its owner, incarnation {owner}"},
+    {"joined", "joined the resubmission to the submission of this id"},
     {"placed", "chose the endpoint {endpoint}"},
     {"refused", "refused the submission"},
     {"retry", "will send the work again"},
@@ -137,6 +141,12 @@
   return It == Lines.rend() ? nullptr : &*It;
 }
 
+/// Returns the event that stands for sending a task. A dispatcher that writes
+/// no line for the start sends a task right after placing it.
+std::string_view startEvent(std::span<const DecisionLine> Lines) {
+  return lastOf(Lines, "task_started") != nullptr ? "task_started" : "placed";
+}
+
 /// Counts what happened to the tasks.
 struct TaskSummary {
   std::map<int, int> m_StartsOfTask;
@@ -147,8 +157,9 @@
 
 TaskSummary summarizeTasks(std::span<const DecisionLine> Lines) {
   TaskSummary Result;
+  const std::string_view Start = startEvent(Lines);
   for (const DecisionLine &Line : Lines) {
-    if (Line.m_Event == "task_started") {
+    if (Line.m_Event == Start) {
       ++Result.m_StartsOfTask[Line.task().value_or(0)];
       ++Result.m_StartsAtEndpoint[Line.text("endpoint")];
     }
@@ -167,15 +178,15 @@
 std::string describeTasks(std::span<const DecisionLine> Lines) {
   TaskSummary Summary = summarizeTasks(Lines);
   if (Summary.m_StartsOfTask.empty())
-    return "No line shows that a task was started.\n";
+    return "No line shows that a task was sent to an endpoint.\n";
   std::string Result = counted(Summary.m_StartsOfTask.size(), "task") +
-                       " started, " + std::to_string(Summary.m_Finished) +
+                       " sent, " + std::to_string(Summary.m_Finished) +
                        " finished, " + std::to_string(Summary.m_Retries) +
                        " sent again; at";
   const char *Separator = " ";
   for (const auto &[Endpoint, Starts] : Summary.m_StartsAtEndpoint) {
     Result += Separator + (Endpoint.empty() ? "(not logged)" : Endpoint) + " " +
-              counted(static_cast<std::size_t>(Starts), "start");
+              counted(static_cast<std::size_t>(Starts), "time");
     Separator = ", ";
   }
   Result += ".\n";
@@ -213,9 +224,11 @@
            "have run.\n";
   if (lastOf(Lines, "cancelled") != nullptr)
     return "It was cancelled and no line shows an answer.\n";
-  if (lastOf(Lines, "task_started") != nullptr)
-    return "It was started and no line shows an answer: it is still running, "
-           "its dispatcher is gone, or logs are missing. It may have run.\n";
+  if (lastOf(Lines, startEvent(Lines)) != nullptr)
+    return "It was sent to an endpoint and no line shows an answer: it is "
+           "still "
+           "running, its dispatcher is gone, or logs are missing. It may have "
+           "run.\n";
   return "No line shows an answer: it is still waiting, its dispatcher is "
          "gone, or logs are missing.\n";
 }
--- a/Source/Ctl/PlatformStream.cpp
+++ b/Source/Ctl/PlatformStream.cpp
@@ -17,8 +17,8 @@
                      "the platform's reply is malformed: " + What);
 }
 
-StreamPage readPage(const nlohmann::json &Reply) {
-  StreamPage Page;
+RecordPage readPage(const nlohmann::json &Reply) {
+  RecordPage Page;
   Page.m_First = Reply.at("first").get<std::int64_t>();
   Page.m_End = Reply.at("end").get<std::int64_t>();
   for (const nlohmann::json &Record : Reply.at("records"))
@@ -52,7 +52,7 @@
   return Reply;
 }
 
-absl::StatusOr<StreamPage> PlatformStream::read(std::int64_t From) {
+absl::StatusOr<RecordPage> PlatformStream::read(std::int64_t From) {
   HttpRequest Request;
   Request.m_Path = m_Path + "?from=" + std::to_string(From) +
                    "&limit=" + std::to_string(PageLimit);
--- a/Source/Ctl/StatusTable.cpp
+++ b/Source/Ctl/StatusTable.cpp
@@ -27,33 +27,43 @@
   return Text.empty() ? "-" : Text;
 }
 
-/// Returns a field of what the role reports; null if it does not.
-nlohmann::json roleField(const nlohmann::json &Page, const char *Name) {
-  if (!Page.is_object() || !Page.contains("role") ||
-      !Page["role"].is_object() || !Page["role"].contains(Name))
-    return nullptr;
-  return Page["role"][Name];
+/// Returns the value at a JSON pointer of a status page; null if there is none.
+nlohmann::json valueAt(const nlohmann::json &Page, const char *Pointer) {
+  nlohmann::json::json_pointer Where(Pointer);
+  return Page.contains(Where) ? Page[Where] : nlohmann::json();
+}
+
+/// Returns the offset of the configuration in force that a process reports.
+std::string configurationOffset(const nlohmann::json &Page) {
+  for (const char *Pointer :
+       {"/role/configuration/offset", "/role/configuration_offset"})
+    if (nlohmann::json Value = valueAt(Page, Pointer); !Value.is_null())
+      return Value.dump();
+  return "-";
 }
 
 /// Returns the members that a control process reports; null if it does not.
 nlohmann::json membersOf(const ProcessStatus &Process) {
-  nlohmann::json Members = roleField(Process.m_Page, "members");
+  nlohmann::json Members = valueAt(Process.m_Page, "/role/members/members");
   return Members.is_array() ? Members : nlohmann::json();
 }
 
+/// Returns how many members a process sees.
+std::string memberCount(const ProcessStatus &Process) {
+  nlohmann::json Members = membersOf(Process);
+  if (Members.is_null())
+    Members = valueAt(Process.m_Page, "/role/members");
+  return Members.is_null() ? "-" : valueText(Members);
+}
+
 Row makeProcessRow(const ProcessStatus &Process) {
   if (!Process.m_Page.is_object())
     return {"-", "-", "-", Process.m_Failure, "-", "-", "-", Process.m_Address};
   const nlohmann::json &Page = Process.m_Page;
-  nlohmann::json Role = Page.value("role", nlohmann::json::object());
-  return {field(Page, "vm"),
-          field(Page, "data_centre"),
-          field(Page, "process"),
-          field(Page, "state"),
-          field(Role, "configuration_offset"),
-          field(Page, "incarnation"),
-          field(Role, "members"),
-          Process.m_Address};
+  return {field(Page, "vm"),         field(Page, "data_centre"),
+          field(Page, "process"),    field(Page, "state"),
+          configurationOffset(Page), field(Page, "incarnation"),
+          memberCount(Process),      Process.m_Address};
 }
 
 Row makeMemberRow(const nlohmann::json &Member) {
--- a/include/auburnhub/Ctl/ConfigurationReader.h
+++ b/include/auburnhub/Ctl/ConfigurationReader.h
@@ -37,7 +37,7 @@
   /// the stream's failure.
   template <RecordStream Stream> absl::Status readToEnd(Stream &Source) {
     while (true) {
-      absl::StatusOr<StreamPage> Page = Source.read(m_History.nextOffset());
+      absl::StatusOr<RecordPage> Page = Source.read(m_History.nextOffset());
       if (!Page.ok())
         return Page.status();
       take(*Page);
@@ -64,7 +64,7 @@
                                                     std::int64_t Before) const;
 
 private:
-  void take(const StreamPage &Page);
+  void take(const RecordPage &Page);
   void finish();
 
   ConfigurationHistory m_History;
--- a/include/auburnhub/Ctl/PlatformStream.h
+++ b/include/auburnhub/Ctl/PlatformStream.h
@@ -15,17 +15,17 @@
 namespace auburnhub {
 
 /// One record of a stream of the platform's log.
-struct StreamRecord {
+struct StoredRecord {
   std::int64_t m_Offset = -1;
   std::int64_t m_TimeMs = 0; ///< Platform time since the Unix epoch.
   nlohmann::json m_Data;
 };
 
 /// Records read at once.
-struct StreamPage {
+struct RecordPage {
   std::int64_t m_First = 0; ///< Oldest kept offset.
   std::int64_t m_End = 0;   ///< Next offset to be written.
-  std::vector<StreamRecord> m_Records;
+  std::vector<StoredRecord> m_Records;
 };
 
 /// A stream that can be read and appended to.
@@ -33,7 +33,7 @@
 concept RecordStream = requires(Type &Stream, std::int64_t From,
                                 const nlohmann::json &Data) {
   /// Returns the records from an offset on, perhaps not all of them.
-  { Stream.read(From) } -> std::same_as<absl::StatusOr<StreamPage>>;
+  { Stream.read(From) } -> std::same_as<absl::StatusOr<RecordPage>>;
   /// Returns the new record's offset. After a failure the record may have
   /// been appended.
   { Stream.append(Data) } -> std::same_as<absl::StatusOr<std::int64_t>>;
@@ -46,7 +46,7 @@
 public:
   PlatformStream(const Address &Platform, const std::string &Stream);
 
-  absl::StatusOr<StreamPage> read(std::int64_t From);
+  absl::StatusOr<RecordPage> read(std::int64_t From);
   absl::StatusOr<std::int64_t> append(const nlohmann::json &Data);
   void waitBeforeRetry();
 
