Utilities: Let the demonstration wait for a submission's last line

A caller has its answer before the log line of it is read, so a request's answered line was missing from the output. Shows the lines of the first tasks of a job only, and what auburnhub-ctl explain makes of all of them.

--- a/Utilities/demo.py
+++ b/Utilities/demo.py
@@ -17,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import textwrap
 import threading
 import time
 import uuid
@@ -28,6 +29,7 @@
 ENDPOINT_SPEEDS = ("0.5", "1", "1.5", "2")
 ENDPOINT_SLOTS = 8
 JOB_TASKS = 100
+TASKS_SHOWN = 3  # Tasks of a job whose decision lines are printed.
 READY_LIMIT_S = 30
 CALL_LIMIT_S = 20
 STOP_LIMIT_S = 40
@@ -279,8 +281,33 @@
                 raise DemoError(f"{process.name} exited with status "
                                 f"{process.exited()}")
 
-    def decision_lines(self, submission):
-        """Returns the log lines of one submission, ordered by time."""
+    def decision_lines(self, submission, calls):
+        """Returns the log lines of one submission, ordered by time.
+
+        Waits for those of its end and of so many calls to entries, as a log
+        line may be read after the caller has its answer.
+        """
+        deadline = time.monotonic() + CALL_LIMIT_S
+        while True:
+            lines = self._lines_of(submission)
+            events = [line["event"] for line in lines]
+            if "answered" in events and events.count("forwarded") >= calls:
+                return lines
+            if time.monotonic() > deadline:
+                raise DemoError(f"no line tells of the end of {submission}")
+            time.sleep(POLL_S)
+
+    def explain(self, submission, lines):
+        """Returns what auburnhub-ctl says of a submission, without steps."""
+        done = subprocess.run(
+            [os.path.join(self.bin_dir, "auburnhub-ctl"), "explain",
+             submission], text=True, capture_output=True, check=False,
+            input="".join(json.dumps(line) + "\n" for line in lines))
+        if done.returncode != 0:
+            raise DemoError("auburnhub-ctl explain failed: " + done.stderr)
+        return done.stdout.split("\nStep by step:")[0]
+
+    def _lines_of(self, submission):
         lines = [line for process in self._processes
                  for line in list(process.lines)
                  if line.get("submission") == submission]
@@ -335,13 +362,21 @@
     return text
 
 
-def print_decisions(system, submission):
-    lines = system.decision_lines(submission)
-    print(f"  {len(lines)} decision lines:")
+def is_of_later_task(line):
+    return line.get("task", 0) >= TASKS_SHOWN
+
+
+def print_decisions(system, submission, calls):
+    lines = system.decision_lines(submission, calls)
+    print("  decision lines:")
     for line in lines:
-        print("    " + json.dumps(line))
-    if not lines:
-        raise DemoError("no decision line explains the submission")
+        if not is_of_later_task(line):
+            print("    " + json.dumps(line))
+    left_out = sum(is_of_later_task(line) for line in lines)
+    if left_out:
+        print(f"    and {left_out} lines of the tasks from {TASKS_SHOWN} on")
+    print("  auburnhub-ctl explain says:")
+    print(textwrap.indent(system.explain(submission, lines), "    "))
 
 
 def check_starts(system, submission, tasks):
@@ -349,7 +384,7 @@
     if starts != {task: 1 for task in range(tasks)}:
         raise DemoError("tasks were not started once each: "
                         f"{sorted(starts.items())}")
-    print(f"  each of {tasks} tasks started exactly once")
+    print(f"  each of {tasks} task(s) started exactly once")
 
 
 def send_request(system):
@@ -358,7 +393,8 @@
     submit(system.vms[0], "/v1/services/stock-check/requests",
            json.dumps({"run_ms": 50, "echo": "bamboo five"}), submission,
            "club-desk")
-    print_decisions(system, submission)
+    print_decisions(system, submission, calls=1)
+    check_starts(system, submission, 1)
 
 
 def send_job_twice(system):
@@ -379,7 +415,7 @@
     second = submit(other, path, body, submission, "tournament")
     if json.loads(second)["results"] != results:
         raise DemoError("the resubmission got another answer")
-    print_decisions(system, submission)
+    print_decisions(system, submission, calls=2)
     check_starts(system, submission, JOB_TASKS)
 
 
