--- a/Source/Ctl/ConfigurationFile.cpp
+++ b/Source/Ctl/ConfigurationFile.cpp
@@ -131,11 +131,12 @@
   std::string Result;
   std::string Line;
   while (std::getline(Lines, Line)) {
-    std::string_view Path = std::string_view(Line).substr(0, Line.rfind(": "));
-    // Faults of an inner text may contain ": "; the path is before the first.
-    Path = Path.substr(0, Path.find(": "));
-    Result += (Result.empty() ? "" : "\n") + Name + ":" +
-              std::to_string(PathFinder::line(Root, Path)) + ": " + Line;
+    std::string_view Path = std::string_view(Line).substr(0, Line.find(": "));
+    if (!Result.empty())
+      Result += "\n";
+    Result += Name + ":" + std::to_string(PathFinder::line(Root, Path));
+    Result += ": ";
+    Result += Line;
   }
   return Result;
 }
--- a/Source/Ctl/Explanation.cpp
+++ b/Source/Ctl/Explanation.cpp
@@ -114,7 +114,9 @@
     if (Used.contains(Key) || Text.empty())
       continue;
     Result += Result.empty() ? " (" : ", ";
-    Result += Key + " " + Text;
+    Result += Key;
+    Result += " ";
+    Result += Text;
   }
   return Result.empty() ? Result : Result + ")";
 }
