Wire: End connections when a hub stops

Cause: stop() ended the loop but left the sockets open until the hub was destroyed, so peers learned late that it was gone; and an address that was forgotten while the connection was being made left a link that opened later.

Before: the new test waits in vain for the peer's end (failed after 30 s). After: WireTest passes.

--- a/Source/Wire/LinkHub.cpp
+++ b/Source/Wire/LinkHub.cpp
@@ -75,6 +75,12 @@
 }
 
 void LinkHub::onOpened(ConnectionId Connection) {
+  // The address may have been forgotten while the connection was made.
+  auto Outgoing = m_Outgoing.find(Connection);
+  if (Outgoing != m_Outgoing.end() && !m_Targets.contains(Outgoing->second)) {
+    m_Transport.close(Connection);
+    return;
+  }
   m_Transport.send(Connection, encode(m_Self));
 }
 
--- a/Source/Wire/Transport.cpp
+++ b/Source/Wire/Transport.cpp
@@ -126,6 +126,7 @@
   /// Ends the loop once all queued messages are written, or after some checks.
   void stopWhenFlushed(int ChecksLeft) {
     if (ChecksLeft == 0 || bufferedBytes() == 0) {
+      closeSockets();
       m_Io.stop();
       return;
     }
@@ -135,23 +136,35 @@
     });
   }
 
-  std::size_t bufferedBytes() {
-    std::size_t Total = 0;
+  /// Calls Visit with each connection that the library still has.
+  template <typename Visitor> void forEachConnection(Visitor Visit) {
     for (const auto &[Id, Item] : m_Connections) {
       websocketpp::lib::error_code Ec;
       if (Item.m_Incoming) {
-        Server::connection_ptr Con =
-            m_Server.get_con_from_hdl(Item.m_Handle, Ec);
-        Total += Ec ? 0 : Con->get_buffered_amount();
+        auto Con = m_Server.get_con_from_hdl(Item.m_Handle, Ec);
+        if (!Ec)
+          Visit(*Con);
       } else {
-        Client::connection_ptr Con =
-            m_Client.get_con_from_hdl(Item.m_Handle, Ec);
-        Total += Ec ? 0 : Con->get_buffered_amount();
+        auto Con = m_Client.get_con_from_hdl(Item.m_Handle, Ec);
+        if (!Ec)
+          Visit(*Con);
       }
     }
+  }
+
+  std::size_t bufferedBytes() {
+    std::size_t Total = 0;
+    forEachConnection([&](auto &Con) { Total += Con.get_buffered_amount(); });
     return Total;
   }
 
+  void closeSockets() {
+    forEachConnection([](auto &Con) {
+      boost::system::error_code Ec;
+      Con.get_raw_socket().close(Ec);
+    });
+  }
+
   void startConnect(ConnectionId Id, const std::string &Host,
                     std::uint16_t Port) {
     websocketpp::lib::error_code Ec;
--- a/Tests/Wire/LinkHubTest.cpp
+++ b/Tests/Wire/LinkHubTest.cpp
@@ -21,7 +21,9 @@
       m_LastPeer = Peer;
       m_Up.set_value(Greeting.m_Vm);
     };
-    Events.m_PeerDown = [](PeerId, const Hello &) {};
+    Events.m_PeerDown = [this](PeerId, const Hello &Greeting) {
+      m_Down.set_value(Greeting.m_Vm);
+    };
     Events.m_Received = [this](PeerId, const Envelope &Received) {
       m_Received.set_value(Received);
     };
@@ -36,6 +38,7 @@
   SerialTask m_Task;
   TimerService m_Timers;
   std::promise<std::string> m_Up;
+  std::promise<std::string> m_Down;
   std::promise<Envelope> m_Received;
   PeerId m_LastPeer = 0;
   std::optional<LinkHub> m_Hub;
@@ -84,6 +87,17 @@
   BOOST_TEST(wait(A.m_Up) == "b");
 }
 
+BOOST_AUTO_TEST_CASE(EndsItsConnectionsWhenItStops) {
+  Node A("a");
+  Node B("b");
+  std::uint16_t Port = *B.m_Hub->listen({"127.0.0.1", 0});
+  A.m_Task.post([&] { A.m_Hub->keep({"127.0.0.1", Port}); });
+  BOOST_TEST(wait(A.m_Up) == "b");
+  BOOST_TEST(wait(B.m_Up) == "a");
+  B.m_Hub->stop();
+  BOOST_TEST(wait(A.m_Down) == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AnEnvelope)
