--- a/Source/Dispatch/SlotLending.cpp
+++ b/Source/Dispatch/SlotLending.cpp
@@ -13,6 +13,7 @@
 
 std::vector<LoanedSlots> toMessage(const std::vector<EndpointSlots> &Slots) {
   std::vector<LoanedSlots> Result;
+  Result.reserve(Slots.size());
   for (const EndpointSlots &Item : Slots)
     Result.push_back({Item.m_Address, Item.m_Slots});
   return Result;
