Policy: Choose the placement, classes and lending by the configuration

The baselines ran only in tests; a comparison on the real processes needs them selectable. The placement policies stand in one std::variant, which is a placement policy itself, so that the scheduler and its queues stay as they are when a published change replaces the policy. A variant of whole schedulers was weighed: it would repeat every function of the scheduler and could not change with tasks in hand.

The test of the page of parameters now compares names and yes or no as well.

--- a/Source/Dispatch/DispatchRole.cpp
+++ b/Source/Dispatch/DispatchRole.cpp
@@ -67,6 +67,7 @@
   std::optional<LinkHub> m_Hub;
   std::optional<Dispatcher> m_Dispatcher;
   std::optional<SlotLending> m_Lending;
+  bool m_MayBorrow = true;
   std::optional<PeerId> m_Control;
   std::int64_t m_ConfigurationOffset = -1;
   MembersUpdate m_Members;
@@ -233,9 +234,11 @@
   }
   m_ConfigurationOffset = Msg.m_Offset;
   m_Dispatcher->configure(*Decoded);
+  m_MayBorrow = Decoded->m_Policy.m_Lending;
   std::vector<std::string> Services;
   for (const auto &[Name, Service] : Decoded->m_Body.m_Services)
-    Services.push_back(Name);
+    if (m_MayBorrow)
+      Services.push_back(Name);
   m_Lending->setServices(std::move(Services));
   m_Log.info("configuration_in_force", {{"offset", Msg.m_Offset},
                                         {"change_id", Msg.m_Record.m_ChangeId},
@@ -273,6 +276,9 @@
   // A dispatcher that drains keeps its slots for the work that it still has.
   if (m_Draining)
     return;
+  if (!m_MayBorrow)
+    for (auto &[Service, Slots] : Owned.m_ExpectedSlots)
+      Slots = 0; // Admission counts on the slots at hand.
   m_Dispatcher->runner().setEndpoints(Owned.m_Endpoints, Owned.m_ExpectedSlots);
   m_Log.debug("owned_endpoints", {{"count", Owned.m_Endpoints.size()}});
 }
--- a/Source/Dispatch/TaskRunner.h
+++ b/Source/Dispatch/TaskRunner.h
@@ -8,6 +8,7 @@
 
 #include "auburnhub/Base/Log.h"
 #include "auburnhub/Base/Metrics.h"
+#include "auburnhub/Policy/AnyPlacement.h"
 #include "auburnhub/Policy/Scheduler.h"
 
 #include <functional>
@@ -66,7 +67,7 @@
   /// it after admit() and from a timer.
   void pump();
 
-  using PolicyScheduler = Scheduler<LeastExpectedCompletion>;
+  using PolicyScheduler = Scheduler<AnyPlacement>;
   PolicyScheduler &scheduler() { return m_Scheduler; }
 
   std::size_t queuedTasks() const { return m_Scheduler.queuedTasks(); }
--- a/Source/Policy/PolicyParameters.cpp
+++ b/Source/Policy/PolicyParameters.cpp
@@ -1,6 +1,7 @@
 #include "auburnhub/Policy/PolicyParameters.h"
 
 #include "auburnhub/Base/Failure.h"
+#include "auburnhub/Policy/AnyPlacement.h"
 
 #include <limits>
 #include <string>
@@ -43,6 +44,12 @@
 } // namespace
 
 absl::Status PolicyParameters::validate() const {
+  if (!AnyPlacement::isKnown(m_Placement))
+    return makeFailure(FailureCode::BadSettings,
+                       "policy.placement is \"" + m_Placement +
+                           "\"; expected least-expected-completion, "
+                           "random-endpoint, round-robin or "
+                           "two-random-choices");
   const Range Ranges[] = {
       {"run_time_half_life_ms", m_RunTimeHalfLifeMs, 1, MaxDurationMs},
       {"estimate_max_age_ms", m_EstimateMaxAgeMs, 0, MaxDurationMs},
--- a/Source/Policy/WorkModel.cpp
+++ b/Source/Policy/WorkModel.cpp
@@ -121,7 +121,8 @@
 
 void WorkModel::computeLimit() {
   m_ShortLimitMs = std::numeric_limits<double>::infinity();
-  if (m_All.m_Model.weight() < m_Parameters.m_MinSamples)
+  if (!m_Parameters.m_Classes ||
+      m_All.m_Model.weight() < m_Parameters.m_MinSamples)
     return;
   double Low = m_All.m_Model.quantileMs(m_Parameters.m_ShortQuantile);
   m_ShortLimitMs =
--- a/Tests/Policy/PlacementTest.cpp
+++ b/Tests/Policy/PlacementTest.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerFixture.h"
 
+#include "auburnhub/Policy/AnyPlacement.h"
 #include "auburnhub/Policy/RandomEndpoint.h"
 #include "auburnhub/Policy/RoundRobin.h"
 #include "auburnhub/Policy/TwoRandomChoices.h"
@@ -10,7 +11,7 @@
 using namespace auburnhub;
 
 using Policies = boost::mpl::list<LeastExpectedCompletion, RandomEndpoint,
-                                  RoundRobin, TwoRandomChoices>;
+                                  RoundRobin, TwoRandomChoices, AnyPlacement>;
 
 BOOST_AUTO_TEST_SUITE(APlacementPolicy)
 
--- a/Tests/Policy/PolicyParametersTest.cpp
+++ b/Tests/Policy/PolicyParametersTest.cpp
@@ -33,6 +33,12 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(AreRefusedForAnUnknownPlacement) {
+  PolicyParameters Parameters;
+  Parameters.m_Placement = "nearest";
+  BOOST_TEST((failureCode(Parameters.validate()) == FailureCode::BadSettings));
+}
+
 BOOST_AUTO_TEST_CASE(StandWithTheirDefaultsOnThePageForOperators) {
   std::ifstream File(AUBURNHUB_SOURCE_DIR "/docs/POLICY.md");
   std::stringstream Page;
@@ -40,7 +46,12 @@
   nlohmann::json Defaults = toJson(PolicyParameters());
   for (const auto &[Name, Value] : Defaults.items()) {
     std::ostringstream Row;
-    Row << "| `" << Name << "` | " << Value.get<double>() << " |";
+    Row << "| `" << Name << "` | ";
+    if (Value.is_number())
+      Row << Value.get<double>() << " |";
+    else
+      Row << (Value.is_string() ? Value.get<std::string>() : Value.dump())
+          << " |";
     BOOST_TEST(Page.str().find(Row.str()) != std::string::npos, Row.str());
   }
 }
--- a/Tests/Policy/SchedulerFixture.h
+++ b/Tests/Policy/SchedulerFixture.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNHUB_TESTS_POLICY_SCHEDULERFIXTURE_H
 #define AUBURNHUB_TESTS_POLICY_SCHEDULERFIXTURE_H
 
+#include "auburnhub/Policy/AnyPlacement.h"
 #include "auburnhub/Policy/Scheduler.h"
 
 #include <map>
@@ -59,7 +60,7 @@
 
   std::mt19937_64 m_Random{42};
   TimePoint m_Now{std::chrono::hours(1)};
-  Scheduler<> m_Scheduler;
+  Scheduler<AnyPlacement> m_Scheduler;
 };
 
 } // namespace auburnhub
--- a/Tests/Policy/SchedulerTest.cpp
+++ b/Tests/Policy/SchedulerTest.cpp
@@ -201,6 +201,21 @@
   BOOST_TEST(Placed[0].m_RejectedExpectedMs > 2 * Placed[0].m_ExpectedMs);
 }
 
+BOOST_AUTO_TEST_CASE(IsChosenByThePlacementInForce) {
+  SchedulerFixture F;
+  F.setSlots({4, 4});
+  PolicyParameters Parameters;
+  for (const char *Name : {"round-robin", "least-expected-completion"}) {
+    Parameters.m_Placement = Name;
+    F.m_Scheduler.setParameters(F.m_Now, Parameters);
+    (void)F.admit(Parameters.m_Placement.size());
+    std::vector<PlacementDecision> Placed = F.place();
+    BOOST_TEST_REQUIRE(Placed.size() == 1u);
+    BOOST_TEST(Placed.front().m_Policy == Name);
+    BOOST_TEST(Placed.front().m_Candidates == 2u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EjectsOneThatFailsEverythingAndTriesItWithOneTask) {
   setSlots({4, 4});
   TaskKey Key = 0;
--- a/include/auburnhub/Policy/Placement.h
+++ b/include/auburnhub/Policy/Placement.h
@@ -39,6 +39,22 @@
   { Type::Name } -> std::convertible_to<std::string_view>;
 };
 
+/// Returns the name of the policy in use.
+template <PlacementPolicy Placement>
+std::string_view placementName(const Placement &Used) {
+  if constexpr (requires { Used.name(); })
+    return Used.name();
+  else
+    return Placement::Name;
+}
+
+/// Changes to the policy with the given name, if the type offers a choice.
+template <PlacementPolicy Placement>
+void usePlacement(Placement &Used, std::string_view Name) {
+  if constexpr (requires { Used.use(Name); })
+    Used.use(Name);
+}
+
 } // namespace auburnhub
 
 #endif
--- a/include/auburnhub/Policy/PolicyParameters.h
+++ b/include/auburnhub/Policy/PolicyParameters.h
@@ -3,11 +3,18 @@
 
 #include "absl/status/status.h"
 
+#include <string>
+
 namespace auburnhub {
 
 /// The parameters of the decision policy; docs/POLICY.md explains each. They
 /// are the `policy` section of the configuration.
 struct PolicyParameters {
+  // Ways to place work, and the baselines to compare with.
+  std::string m_Placement = "least-expected-completion";
+  bool m_Classes = true; ///< Short work before long work.
+  bool m_Lending = true; ///< Borrow idle slots of other dispatchers.
+
   // Learned run times.
   double m_RunTimeHalfLifeMs = 60000;
   double m_EstimateMaxAgeMs = 2000;
@@ -46,6 +53,9 @@
   int m_MaxLosses = 3;
 
   template <typename Visitor> void fields(Visitor &V) {
+    V("placement", m_Placement);
+    V("classes", m_Classes);
+    V("lending", m_Lending);
     V("run_time_half_life_ms", m_RunTimeHalfLifeMs);
     V("estimate_max_age_ms", m_EstimateMaxAgeMs);
     V("min_samples", m_MinSamples);
--- a/include/auburnhub/Policy/SchedulerEndpointsImpl.h
+++ b/include/auburnhub/Policy/SchedulerEndpointsImpl.h
@@ -15,6 +15,7 @@
   m_Parameters = Parameters;
   for (Service &S : m_Services) {
     S.m_Work.setParameters(Parameters);
+    S.usePlacements(Parameters.m_Placement);
     S.m_Retries.setLimits(Parameters.m_RetryRatio, Parameters.m_RetryReserve);
   }
   for (std::size_t I = 0; I < m_Endpoints.size(); ++I)
--- a/include/auburnhub/Policy/SchedulerTasksImpl.h
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -451,7 +451,7 @@
   Decision.m_Task = T.m_Request.m_Key;
   Decision.m_Endpoint = Chosen.address();
   Decision.m_Class = T.m_Class;
-  Decision.m_Policy = Placement::Name;
+  Decision.m_Policy = placementName(S.free(T.m_Class));
   Decision.m_ExpectedMs = MeanMs * Chosen.estimate().slowness();
   Decision.m_WaitedMs = millisecondsBetween(T.m_QueuedAt, Now);
   Decision.m_Candidates = S.free(T.m_Class).size();
--- a/include/auburnhub/Policy/ServiceState.h
+++ b/include/auburnhub/Policy/ServiceState.h
@@ -21,7 +21,15 @@
   ServiceState(std::string Name, const PolicyParameters &Parameters,
                TimePoint Now)
       : m_Name(std::move(Name)), m_Work(Parameters, Now),
-        m_Retries(Parameters.m_RetryRatio, Parameters.m_RetryReserve) {}
+        m_Retries(Parameters.m_RetryRatio, Parameters.m_RetryReserve) {
+    usePlacements(Parameters.m_Placement);
+  }
+
+  /// Changes the placement policy. Endpoints must then be inserted again.
+  void usePlacements(std::string_view Name) {
+    for (Placement &Each : m_Free)
+      usePlacement(Each, Name);
+  }
 
   FairQueue &queue(TaskClass Class) {
     return m_Queues[static_cast<std::size_t>(Class)];
