--- a/Tests/System/Support/Cluster.cpp
+++ b/Tests/System/Support/Cluster.cpp
@@ -266,7 +266,7 @@
   return {{"services", std::move(Services)},
           {"teams", std::move(Teams)},
           {"limits", Json::object()},
-          {"policy", Json::object()}};
+          {"policy", m_Options.m_Policy}};
 }
 
 absl::StatusOr<std::int64_t> Cluster::publish(const Json &Body,
--- a/Tests/System/Support/Cluster.h
+++ b/Tests/System/Support/Cluster.h
@@ -36,6 +36,7 @@
   std::vector<std::string> m_Teams = {"club-desk", "collectors"};
   std::vector<std::string> m_PlatformArguments{};
   std::string m_LogLevel = "info";
+  nlohmann::json m_Policy = nlohmann::json::object(); ///< Its section.
 };
 
 enum class Role { Control, Dispatch, Entry };
