Dispatch: Give each slot of an endpoint an owner of its own

Cause: each dispatcher owned whole endpoints, about a third of them, so that one used its slow endpoints while fast ones of another stood idle; loans come only when work waits.

The price is connections: an endpoint of 8 slots has up to 8 dispatchers.

--- a/Source/Dispatch/SlotOwnership.cpp
+++ b/Source/Dispatch/SlotOwnership.cpp
@@ -32,6 +32,19 @@
   return Found == Ready.m_ByDataCentre.end() ? Ready.m_All : Found->second;
 }
 
+/// Returns how many slots of an endpoint a VM's dispatcher owns. Each slot has
+/// an owner of its own, so that every dispatcher has fast and slow endpoints
+/// in about the same proportion.
+int slotsOf(const EndpointConfiguration &Endpoint, const Candidates &Owners,
+            std::string_view Vm) {
+  int Count = 0;
+  for (std::int64_t Slot = 0; Slot < Endpoint.m_Slots; ++Slot) {
+    auto Index = owner(Endpoint.m_Address + "#" + std::to_string(Slot), Owners);
+    Count += Index && Owners[*Index].m_Name == Vm;
+  }
+  return Count;
+}
+
 } // namespace
 
 OwnedSlots findOwnedSlots(const ConfigurationBody &Configuration,
@@ -50,10 +63,10 @@
       if (Item.m_DataCentre == DataCentre)
         SlotsHere += Item.m_Slots;
       const Candidates &Owners = candidatesFor(Ready, Item.m_DataCentre);
-      auto Index = owner(Item.m_Address, Owners);
-      if (!Index || Owners[*Index].m_Name != Vm)
+      int Slots = slotsOf(Item, Owners, Vm);
+      if (Slots == 0)
         continue;
-      Result.m_Endpoints.push_back({Item.m_Address, Name, Item.m_Slots});
+      Result.m_Endpoints.push_back({Item.m_Address, Name, Slots});
       OwnsAny = true;
     }
     if (!OwnsAny && !Service.m_Endpoints.empty())
--- a/Tests/Dispatch/SlotOwnershipTest.cpp
+++ b/Tests/Dispatch/SlotOwnershipTest.cpp
@@ -54,6 +54,20 @@
                                        "ipswich")) == 80);
 }
 
+BOOST_AUTO_TEST_CASE(SharesOutTheSlotsOfEachEndpoint) {
+  ConfigurationBody Configuration = makeConfiguration(34);
+  MembersUpdate Members;
+  Members.m_Members = {makeMember("b1", "brisbane"),
+                       makeMember("b2", "brisbane"),
+                       makeMember("b3", "brisbane")};
+  for (const char *Vm : {"b1", "b2", "b3"}) {
+    OwnedSlots Owned = findOwnedSlots(Configuration, Members, Vm, "brisbane");
+    BOOST_TEST(Owned.m_Endpoints.size() >= 30u);
+    BOOST_TEST(ownedSlots(Owned) > 272 / 3 * 3 / 4);
+    BOOST_TEST(ownedSlots(Owned) < 272 / 3 * 5 / 4);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(PassesToAnotherDataCentreIfNoneIsLeft) {
   ConfigurationBody Configuration = makeConfiguration(20);
   MembersUpdate Members;
--- a/Utilities/bench/Scenarios.cpp
+++ b/Utilities/bench/Scenarios.cpp
@@ -77,6 +77,19 @@
   return Late.quantile(0.99);
 }
 
+/// Returns how often each status and outcome came that is neither a whole
+/// answer nor a refusal, as "STATUS/OUTCOME:COUNT"; "none" if there was none.
+std::string otherEnds(const Trial::Result &Run) {
+  std::map<std::string, std::size_t> Counts;
+  for (const Sample &Got : Run.m_Samples)
+    if (Got.m_Status != HttpOk && Got.m_Outcome != "not_run")
+      ++Counts[std::to_string(Got.m_Status) + "/" + Got.m_Outcome];
+  std::string Text;
+  for (const auto &[End, Count] : Counts)
+    Text += (Text.empty() ? "" : " ") + End + ":" + std::to_string(Count);
+  return Text.empty() ? "none" : Text;
+}
+
 void addMachine(ReportRow &Row, const Trial::Result &Run) {
   const CpuUse &Cpu = Run.m_Cpu;
   Row.add("late_p99_ms", lateP99Ms(Run));
@@ -176,6 +189,7 @@
   Row.add("before_p99_ms", Before.m_LatencyMs.quantile(0.99));
   Row.add("after_p99_ms", After.m_LatencyMs.quantile(0.99));
   Row.add("not_not_run", static_cast<double>(All.m_Other));
+  Row.add("other_ends", otherEnds(Run));
   addWaste(Row, Run);
   addMachine(Row, Run);
   return Row;
@@ -220,6 +234,7 @@
           static_cast<double>(Late) / std::max(1.0, double(After.m_Sent)));
   Row.add("refused_not_run", static_cast<double>(After.m_Refused));
   Row.add("other_outcome", static_cast<double>(After.m_Other));
+  Row.add("other_ends", otherEnds(Run));
   Row.add("before_p99_ms", Before.m_LatencyMs.quantile(0.99));
   Row.add("after_p99_ms", After.m_LatencyMs.quantile(0.99));
   addWaste(Row, Run);
