--- a/Utilities/demo.py
+++ b/Utilities/demo.py
@@ -98,6 +98,10 @@
             self._first_line.set()
         self._first_line.set()
 
+    @property
+    def pid(self):
+        return self._child.pid
+
     def first_line(self):
         self._first_line.wait(READY_LIMIT_S)
         if not self.lines:
