--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -55,7 +55,7 @@
           [this] { onConfigurationChanged(); },
           [this](const absl::Status &Seen) { notePlatform(Seen); }),
       m_VmList(Settings.m_Platform, Context.m_Common.m_Vm,
-               Settings.m_VmListPeriod, m_Task, m_Timers,
+               Settings.m_VmListPeriod, m_Task, m_Timers, Context.m_Metrics,
                [this](const std::vector<PlatformVm> &Vms) { onVmList(Vms); }) {}
 
 ControlNode::~ControlNode() { stop(); }
--- a/Source/Control/PlatformClient.cpp
+++ b/Source/Control/PlatformClient.cpp
@@ -12,11 +12,6 @@
   template <typename Visitor> void fields(Visitor &V) { V("first", m_First); }
 };
 
-struct VmList {
-  std::vector<PlatformVm> m_Vms;
-  template <typename Visitor> void fields(Visitor &V) { V("vms", m_Vms); }
-};
-
 absl::Status unavailable(std::string_view What) {
   return makeFailure(FailureCode::PlatformUnavailable, What);
 }
@@ -67,14 +62,14 @@
   return Page;
 }
 
-absl::StatusOr<std::vector<PlatformVm>> PlatformClient::listVms() {
+absl::StatusOr<VmListing> PlatformClient::listVms() {
   auto Response = call("GET", "/v1/vms", "", CallTimeout);
   if (!Response.ok())
     return Response.status();
-  auto Reply = parseReply<VmList>(*Response);
-  if (!Reply.ok())
-    return Reply.status();
-  return std::move(Reply->m_Vms);
+  auto Listing = parseReply<VmListing>(*Response);
+  if (Listing.ok())
+    Listing->m_Bytes = Response->m_Body.size();
+  return Listing;
 }
 
 absl::StatusOr<HttpResponse> PlatformClient::call(std::string Method,
--- a/Source/Control/PlatformClient.h
+++ b/Source/Control/PlatformClient.h
@@ -53,6 +53,13 @@
   }
 };
 
+/// The platform's VM list.
+struct VmListing {
+  std::vector<PlatformVm> m_Vms;
+  std::size_t m_Bytes = 0; ///< Size of the reply's body.
+  template <typename Visitor> void fields(Visitor &V) { V("vms", m_Vms); }
+};
+
 /// Calls the platform; each call blocks. Used by one thread at a time. All
 /// calls fail with PlatformUnavailable.
 class PlatformClient {
@@ -68,7 +75,7 @@
   absl::StatusOr<StreamPage> read(std::string_view Stream, std::int64_t From,
                                   int Limit, Milliseconds Wait);
 
-  absl::StatusOr<std::vector<PlatformVm>> listVms();
+  absl::StatusOr<VmListing> listVms();
 
 private:
   absl::StatusOr<HttpResponse> call(std::string Method, std::string Path,
--- a/Source/Control/VmListPoller.cpp
+++ b/Source/Control/VmListPoller.cpp
@@ -4,9 +4,12 @@
 
 VmListPoller::VmListPoller(Address Platform, std::string Vm,
                            Milliseconds Period, SerialTask &Owner,
-                           TimerService &Timers, Listener Changed)
+                           TimerService &Timers, MetricsRegistry &Metrics,
+                           Listener Changed)
     : m_Period(Period), m_Owner(Owner), m_Timers(Timers),
       m_Changed(std::move(Changed)),
+      m_BytesRead(Metrics.counter("auburnhub_vm_list_read_bytes_total",
+                                  "Bytes of VM lists read")),
       m_Client(std::move(Platform), std::move(Vm)) {}
 
 VmListPoller::~VmListPoller() { stop(); }
@@ -29,7 +32,8 @@
   auto Listed = m_Client.listVms();
   if (!Listed.ok())
     return;
-  m_Owner.post([this, Vms = std::move(*Listed)] { m_Changed(Vms); });
+  m_BytesRead.add(Listed->m_Bytes);
+  m_Owner.post([this, Vms = std::move(Listed->m_Vms)] { m_Changed(Vms); });
 }
 
 } // namespace auburnhub
--- a/Source/Control/VmListPoller.h
+++ b/Source/Control/VmListPoller.h
@@ -3,6 +3,7 @@
 
 #include "PlatformClient.h"
 
+#include "auburnhub/Base/Metrics.h"
 #include "auburnhub/Base/SerialTask.h"
 #include "auburnhub/Base/TimerService.h"
 
@@ -17,7 +18,8 @@
 
   /// Calls Changed on the owner's task with each list that was read.
   VmListPoller(Address Platform, std::string Vm, Milliseconds Period,
-               SerialTask &Owner, TimerService &Timers, Listener Changed);
+               SerialTask &Owner, TimerService &Timers,
+               MetricsRegistry &Metrics, Listener Changed);
   ~VmListPoller();
 
   void start();
@@ -32,6 +34,7 @@
   SerialTask &m_Owner;
   TimerService &m_Timers;
   Listener m_Changed;
+  Counter &m_BytesRead;
   PlatformClient m_Client;
   TimerService::Subscription m_Subscription = 0;
   SerialTask m_Task{"vm-list"};
--- a/Utilities/capacity.py
+++ b/Utilities/capacity.py
@@ -280,6 +280,7 @@
     cost = {"cpu %": 100 * (new.cpu - old.cpu) / seconds,
             "RSS MB": resident, "anon MB": anonymous}
     for key, name in (("sent B/s", "auburnhub_link_sent_bytes"),
+                      ("VM list B/s", "auburnhub_vm_list_read_bytes_total"),
                       ("claims B/s", "auburnhub_claim_read_bytes_total"),
                       ("starts/s", "auburnhub_task_starts_total")):
         if name in new.metrics:
