--- a/Utilities/capacity.py
+++ b/Utilities/capacity.py
@@ -3,14 +3,15 @@
 
 Usage: capacity.py BIN_DIR [--runs N] [--window S] [PART]...
 
-Parts: peers, endpoints, teams, changes, claims, dispatch, queued; all if none
-is named. Starts the real processes and small stand-ins on loopback and prints
+Parts: peers, endpoints, sharing, teams, changes, claims, dispatch, path, queued,
+waiting; all if none is named. Starts the real processes and small stand-ins on loopback and prints
 a table and the least-squares slopes of each part. Processor time is CPU time
 consumed, so that other work on the machine matters little.
 """
 
 import argparse
 import collections
+import http.client
 import json
 import os
 import re
@@ -25,12 +26,16 @@
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 DATA_CENTRES = 6
 PEER_COUNTS = (2, 10, 20, 40)
+SHARING_COUNTS = (6, 24, 40)
+LETTER_ENDPOINTS = 1800
+LETTER_TEAMS = 240
 ENDPOINT_COUNTS = (0, 600, 1200, 1800)
 TEAM_COUNTS = (0, 80, 160, 240)
 CHANGES_PER_MINUTE = (0, 30, 60, 120)
 CLAIMS_PER_S = (0, 100, 400, 1600)
 STARTS_PER_S = (0, 250, 500, 1000)
-QUEUED_TASKS = (0, 5000, 10000, 20000)
+QUEUED_TASKS = (0, 3000, 6000, 9000)
+WAITING_CALLS = (0, 100, 200, 400)
 CLAIM_RECORDS_PER_S = 10
 JOB_TASKS = 50
 QUEUE_JOB_TASKS = 1000
@@ -309,6 +314,14 @@
         return measure(rig, options.window, ["control"])
 
 
+def run_sharing(options, count):
+    with Rig(options.bin_dir, endpoints=LETTER_ENDPOINTS) as rig:
+        rig.start_controls(count)
+        rig.wait_until_ready()
+        time.sleep(SETTLE_S)
+        return measure(rig, options.window, ["control"])
+
+
 def run_teams(options, count):
     with Rig(options.bin_dir, teams=count) as rig:
         rig.start_controls(2)
@@ -318,7 +331,8 @@
 
 
 def run_changes(options, per_minute):
-    with Rig(options.bin_dir, endpoints=1800, teams=240) as rig:
+    with Rig(options.bin_dir, endpoints=LETTER_ENDPOINTS,
+             teams=LETTER_TEAMS) as rig:
         rig.start_controls(2)
         rig.wait_until_ready()
         stop = in_background(rig.publish, per_minute / 60)
@@ -372,20 +386,46 @@
         return measure(rig, options.window, PATH_ROLES)
 
 
-def submit_quietly(rig):
+def run_path(options, endpoints):
+    """Measures an idle path whose configuration has endpoints and teams."""
+    with Rig(options.bin_dir, endpoints=endpoints, teams=LETTER_TEAMS) as rig:
+        rig.start_controls(1)
+        rig.start_path()
+        rig.wait_until_ready()
+        time.sleep(SETTLE_S)
+        return measure(rig, options.window, PATH_ROLES)
+
+
+def run_waiting(options, calls):
+    with Rig(options.bin_dir) as rig:
+        rig.start_endpoints(1, 1)
+        rig.start_controls(1)
+        rig.start_path()
+        rig.wait_until_ready()
+        for _ in range(calls):
+            threading.Thread(target=submit_quietly, args=(rig, 1),
+                             daemon=True).start()
+        time.sleep(QUEUE_SETTLE_S)
+        return measure(rig, options.window, PATH_ROLES)
+
+
+def submit_quietly(rig, tasks=QUEUE_JOB_TASKS):
     try:
-        rig.submit(QUEUE_JOB_TASKS, QUEUED_RUN_MS)
-    except OSError:
+        rig.submit(tasks, QUEUED_RUN_MS)
+    except (OSError, http.client.HTTPException):
         pass  # The measurement ends before its answers.
 
 
 PARTS = {
     "peers": ("control processes", PEER_COUNTS, run_peers),
     "endpoints": ("endpoints", ENDPOINT_COUNTS, run_endpoints),
+    "sharing": ("control processes", SHARING_COUNTS, run_sharing),
     "teams": ("teams", TEAM_COUNTS, run_teams),
     "changes": ("changes/min", CHANGES_PER_MINUTE, run_changes),
     "claims": ("claims/s", CLAIMS_PER_S, run_claims),
     "dispatch": ("starts/s", STARTS_PER_S, run_dispatch),
+    "path": ("endpoints", ENDPOINT_COUNTS, run_path),
+    "waiting": ("waiting calls", WAITING_CALLS, run_waiting),
     "queued": ("queued tasks", QUEUED_TASKS, run_queued),
 }
 
