Control: Read a large VM list in turns within a data centre

Every control read the whole list each second: 103 bytes a VM, 216 KB/s at 2,100 VMs, against a budget of 15 KB/s. Now the controls of a data centre read a list over 5 KB/s in turns and hand on the VMs that leave (LeavingVms). Small lists are read by all as before.

Weighed: a longer period alone would miss the two seconds within which a leaving endpoint has to be known; two chosen readers a data centre would themselves break the budget, and need a fallback. Turns need none: a reader that is gone misses its own turns only, until the others renumber. A control that is cut off from the platform also learns of leaving VMs now.

--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -142,6 +142,11 @@
          Greeting.m_Vm == m_Context.m_Common.m_Vm;
 }
 
+bool ControlNode::isNeighbour(const Hello &Greeting) const {
+  return Greeting.m_Role == "control" &&
+         Greeting.m_DataCentre == m_Context.m_Common.m_DataCentre;
+}
+
 void ControlNode::onPeerUp(PeerId Peer, const Hello &Greeting) {
   if (isLocal(Greeting)) {
     if (m_Configuration.accepted())
@@ -153,6 +158,8 @@
     return;
   m_Members.learnAddress(Greeting.m_LinkAddress, monotonicMilliseconds());
   sendHeartbeat(Peer, {});
+  if (isNeighbour(Greeting) && m_Leaving.m_ReadAtMs > 0)
+    m_Hub.send(Peer, m_Leaving);
   if (!m_Configuration.accepted())
     m_Hub.send(Peer, ConfigurationQuery{m_Configuration.offset()});
 }
@@ -194,6 +201,7 @@
       {Heartbeat::TypeName, &ControlNode::dispatch<Heartbeat>},
       {MemberPulse::TypeName, &ControlNode::dispatch<MemberPulse>},
       {MemberQuery::TypeName, &ControlNode::dispatch<MemberQuery>},
+      {LeavingVms::TypeName, &ControlNode::dispatch<LeavingVms>},
       {ConfigurationQuery::TypeName,
        &ControlNode::dispatch<ConfigurationQuery>},
       {ConfigurationUpdate::TypeName,
@@ -257,6 +265,15 @@
   sendHeartbeat(Peer, {});
 }
 
+void ControlNode::on(PeerId Peer, const LeavingVms &Msg) {
+  bool IsNews = Msg.m_ReadAtMs > m_Leaving.m_ReadAtMs;
+  if (!IsNews || !isNeighbour(m_Hub.peers().at(Peer)))
+    return;
+  m_Leaving = Msg;
+  m_Members.setLeaving({Msg.m_Vms.begin(), Msg.m_Vms.end()});
+  publishMembers();
+}
+
 void ControlNode::on(PeerId Peer, const ConfigurationQuery &Msg) {
   if (m_Configuration.offset() > Msg.m_Known)
     m_Hub.send(Peer, *m_Configuration.accepted());
@@ -377,6 +394,7 @@
   if (m_Members.revision() == m_PublishedRevision)
     return;
   m_PublishedRevision = m_Members.revision();
+  shareVmList();
   MembersUpdate Update = m_Members.update();
   m_MemberCount.set(static_cast<double>(Update.m_Members.size()));
   for (const auto &[Peer, Greeting] : m_Hub.peers())
@@ -404,8 +422,32 @@
     else if (Vm.m_State == "leaving")
       Leaving.insert(Vm.m_Vm);
   }
+  LeavingVms Read;
+  Read.m_ReadAtMs = TimerService::wallMilliseconds();
+  Read.m_Vms.assign(Leaving.begin(), Leaving.end());
+  bool IsChanged = Read.m_Vms != std::exchange(m_Leaving, Read).m_Vms;
   m_Members.setLeaving(std::move(Leaving));
   publishMembers();
+  if (IsChanged)
+    handOnLeaving();
+}
+
+void ControlNode::handOnLeaving() {
+  for (const auto &[Unused, Peer] : controlLinks())
+    if (isNeighbour(m_Hub.peers().at(Peer)))
+      m_Hub.send(Peer, m_Leaving);
+}
+
+void ControlNode::shareVmList() {
+  PollTurns Turns;
+  const Member &Self = m_Members.self();
+  for (const Member &Other : m_Members.others()) {
+    if (Other.m_DataCentre != Self.m_DataCentre)
+      continue;
+    ++Turns.m_Members;
+    Turns.m_Rank += Other.m_Vm < Self.m_Vm ? 1 : 0;
+  }
+  m_VmList.setTurns(Turns);
 }
 
 void ControlNode::notePlatform(const absl::Status &Seen) {
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -52,6 +52,7 @@
   void on(PeerId Peer, const Heartbeat &Msg);
   void on(PeerId Peer, const MemberPulse &Msg);
   void on(PeerId Peer, const MemberQuery &Msg);
+  void on(PeerId Peer, const LeavingVms &Msg);
   void on(PeerId Peer, const ConfigurationQuery &Msg);
   void on(PeerId Peer, const ConfigurationUpdate &Msg);
   void on(PeerId Peer, const Reject &Msg);
@@ -66,12 +67,16 @@
   void publishMembers();
   void onConfigurationChanged();
   void onVmList(const std::vector<PlatformVm> &Vms);
+  void handOnLeaving();
+  void shareVmList();
   void notePlatform(const absl::Status &Seen);
   void changeSelf(const std::function<void(Member &)> &Change);
   void finishStop();
   nlohmann::json describe() const;
 
   bool isLocal(const Hello &Greeting) const;
+  /// Returns whether it is a control of this data centre.
+  bool isNeighbour(const Hello &Greeting) const;
   /// Returns one link to each other control, by VM.
   std::map<std::string, PeerId> controlLinks() const;
 
@@ -86,6 +91,7 @@
   MemberView m_Members;
   std::uint64_t m_PublishedRevision = 0;
   std::map<PeerId, SentHeartbeat> m_Sent;
+  LeavingVms m_Leaving;             ///< Newest that was read or received.
   std::int64_t m_BehindSinceMs = 0; ///< 0: no peer has a newer configuration.
   bool m_IsPlatformUp = true;
   bool m_IsStopping = false;
--- a/Source/Control/VmListPoller.h
+++ b/Source/Control/VmListPoller.h
@@ -6,12 +6,15 @@
 #include "auburnhub/Base/Metrics.h"
 #include "auburnhub/Base/SerialTask.h"
 #include "auburnhub/Base/TimerService.h"
+#include "auburnhub/Coordination/PollTurns.h"
 
 #include <functional>
+#include <mutex>
 
 namespace auburnhub {
 
-/// Reads the platform's VM list again and again on a thread of its own.
+/// Reads the platform's VM list again and again on a thread of its own: every
+/// period while the list is small, and a large one in turns with others.
 class VmListPoller {
 public:
   using Listener = std::function<void(const std::vector<PlatformVm> &)>;
@@ -24,10 +27,14 @@
 
   void start();
 
+  /// Sets with whom the reading is shared. Called from any thread.
+  void setTurns(PollTurns Turns);
+
   /// Ends the thread, at the latest when the call in progress ends.
   void stop();
 
 private:
+  void pollInTurn();
   void poll();
 
   const Milliseconds m_Period;
@@ -37,6 +44,9 @@
   Counter &m_BytesRead;
   PlatformClient m_Client;
   TimerService::Subscription m_Subscription = 0;
+  std::mutex m_Mutex; ///< Guards m_Turns.
+  PollTurns m_Turns;
+  std::int64_t m_ListBytes = 0; ///< Size of the list that was read last.
   SerialTask m_Task{"vm-list"};
 };
 
--- a/Tests/Control/ControlRoleTest.cpp
+++ b/Tests/Control/ControlRoleTest.cpp
@@ -92,6 +92,27 @@
   std::optional<ControlRole> m_Role;
 };
 
+nlohmann::json leavingVm(const std::string &Vm) {
+  return {{"vm", Vm},
+          {"data_centre", "brisbane"},
+          {"role", "endpoint"},
+          {"address", "127.0.0.1:1"},
+          {"state", "leaving"}};
+}
+
+/// A list that is too large for all to read in every turn, whose last VM
+/// leaves.
+nlohmann::json largeVmList(const std::string &Leaving) {
+  constexpr int LiveVms = 400;
+  nlohmann::json Vms = nlohmann::json::array();
+  for (int Index = 0; Index != LiveVms; ++Index) {
+    Vms.push_back(leavingVm("live-" + std::to_string(Index)));
+    Vms.back()["state"] = "live";
+  }
+  Vms.push_back(leavingVm(Leaving));
+  return {{"vms", Vms}};
+}
+
 /// A dispatcher reduced to its link to the control of its VM. It keeps what it
 /// receives; await() waits for a message that fits.
 class Dispatcher {
@@ -143,6 +164,12 @@
     return *Found;
   }
 
+  void awaitLeaving(const std::string &Vm) {
+    await<MembersUpdate>([&](const MembersUpdate &Msg) {
+      return Msg.m_LeavingVms == std::vector<std::string>{Vm};
+    });
+  }
+
   ConfigurationUpdate awaitConfiguration(const std::string &ChangeId) {
     return await<ConfigurationUpdate>([&](const ConfigurationUpdate &Msg) {
       return Msg.m_Record.m_ChangeId == ChangeId;
@@ -289,15 +316,36 @@
   Platform Behind;
   Control A("a", Behind);
   Dispatcher Local("a", 5, A);
-  Behind.post("/test/vms", {{"vms",
-                             {{{"vm", "ex-1"},
-                               {"data_centre", "brisbane"},
-                               {"role", "endpoint"},
-                               {"address", "127.0.0.1:1"},
-                               {"state", "leaving"}}}}});
-  Local.await<MembersUpdate>([](const MembersUpdate &Msg) {
-    return Msg.m_LeavingVms == std::vector<std::string>{"ex-1"};
-  });
+  Behind.post("/test/vms",
+              {{"vms", nlohmann::json::array({leavingVm("ex-1")})}});
+  Local.awaitLeaving("ex-1");
+}
+
+BOOST_AUTO_TEST_CASE(TellsWhichEndpointVmsLeaveThoughCutOffFromThePlatform) {
+  Platform Behind;
+  Behind.post("/test/faults", {{"refuse_from", {"b"}}});
+  Control A("a", Behind);
+  Control B("b", Behind, {A.m_Role->linkAddress()});
+  Dispatcher Local("b", 5, B);
+  Local.awaitMembers(2);
+  Behind.post("/test/vms",
+              {{"vms", nlohmann::json::array({leavingVm("ex-1")})}});
+  Local.awaitLeaving("ex-1");
+}
+
+BOOST_AUTO_TEST_CASE(TellsWhichEndpointVmsLeaveWhenAnotherReaderIsGone) {
+  Platform Behind;
+  Behind.post("/test/vms", largeVmList("ex-1"));
+  Control C("c", Behind);
+  Control B("b", Behind, {C.m_Role->linkAddress()});
+  Dispatcher Local("b", 5, B);
+  {
+    Control A("a", Behind, {C.m_Role->linkAddress()});
+    Local.awaitMembers(3);
+    Local.awaitLeaving("ex-1");
+  }
+  Behind.post("/test/vms", largeVmList("ex-2"));
+  Local.awaitLeaving("ex-2");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Messages/Messages.h
+++ b/include/auburnhub/Messages/Messages.h
@@ -301,6 +301,18 @@
   template <typename Visitor> void fields(Visitor &) {}
 };
 
+/// Control to the controls of its data centre: the endpoint VMs that leave, by
+/// the platform's list that the sender has read.
+struct LeavingVms {
+  static constexpr std::string_view TypeName = "leaving_vms";
+  std::int64_t m_ReadAtMs = 0; ///< When the list was read.
+  std::vector<std::string> m_Vms;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("read_at", m_ReadAtMs);
+    V("vms", m_Vms);
+  }
+};
+
 /// Control to the local processes: the members that answer heartbeats (this VM
 /// among them) and the endpoint VMs that the platform lists as leaving.
 struct MembersUpdate {
