Fakes: Hold appends and tasks until told otherwise

Tests of failures need a window that stays open until they have caused the failure: an append that is in flight, a task that runs. The platform's fault hold_appends and a body with "hold" open one, without a time to guess. Hang was documented as replying; it resets the connection, as the code does.

--- a/Tests/Fakes/FakeEndpoint.cpp
+++ b/Tests/Fakes/FakeEndpoint.cpp
@@ -139,8 +139,10 @@
   const MonotonicTime Due =
       TimerService::now() +
       std::chrono::duration_cast<MonotonicTime::duration>(Run);
+  const bool IsHeld = How.m_Mode == EndpointMode::Hang ||
+                      instructions(Work.m_Body).value("hold", false);
   std::unique_lock<std::mutex> Lock(m_Mutex);
-  if (How.m_Mode == EndpointMode::Hang)
+  if (IsHeld)
     m_Changed.wait(Lock,
                    [&] { return m_Behaviour.m_Version != How.m_Version; });
   else
--- a/Tests/Fakes/FakeEndpoint.h
+++ b/Tests/Fakes/FakeEndpoint.h
@@ -20,7 +20,8 @@
   Ok,          ///< Runs each task.
   Fail,        ///< Runs each task and replies 500.
   FailAllFast, ///< Starts each task and replies 500 at once.
-  Hang,        ///< Starts each task and replies when the mode changes.
+  Hang,        ///< Starts each task; resets the connection when the mode
+               ///< changes.
   ResetBefore, ///< Resets the connection before it reads the body.
   ResetDuring, ///< Starts the task and resets the connection.
   ResetAfter,  ///< Finishes the task and resets the connection.
@@ -45,6 +46,8 @@
 };
 
 /// An executor that runs tasks by waiting, and journals each start and finish.
+/// A task's body may be a JSON object: `run_ms`, `echo`, `fail` and `hold`,
+/// which runs the task until the endpoint is told a mode.
 ///
 /// handle() may run on many threads at once and blocks while a task runs.
 class FakeEndpoint {
--- a/Tests/Fakes/FakePlatform.cpp
+++ b/Tests/Fakes/FakePlatform.cpp
@@ -68,6 +68,7 @@
     return Call.replyJson(400, {{"error", "a list of records was expected"}});
   std::vector<nlohmann::json> Records = Body["records"];
   waitUntil(reserveAppend());
+  waitWhileHeld();
   std::int64_t First = 0;
   {
     std::lock_guard<std::mutex> Lock(m_Mutex);
@@ -151,6 +152,8 @@
         Milliseconds(Body->value("slow_ms", m_Faults.m_Slow.count()));
     m_Faults.m_LoseAppendReplies =
         Body->value("lose_append_replies", m_Faults.m_LoseAppendReplies);
+    m_Faults.m_HoldAppends =
+        Body->value("hold_appends", m_Faults.m_HoldAppends);
     m_Faults.m_RefuseFrom = Body->value("refuse_from", m_Faults.m_RefuseFrom);
   }
   m_Changed.notify_all();
@@ -182,10 +185,13 @@
 
 void FakePlatform::showStats(Exchange &Call) {
   std::unique_lock<std::mutex> Lock(m_Mutex);
-  nlohmann::json Stats = {
-      {"appends", m_Appends},    {"records", m_Records},
-      {"reads", m_Reads},        {"bytes_in", m_BytesIn},
-      {"bytes_out", m_BytesOut}, {"bytes", m_BytesIn + m_BytesOut}};
+  nlohmann::json Stats = {{"appends", m_Appends},
+                          {"records", m_Records},
+                          {"held", m_Held},
+                          {"reads", m_Reads},
+                          {"bytes_in", m_BytesIn},
+                          {"bytes_out", m_BytesOut},
+                          {"bytes", m_BytesIn + m_BytesOut}};
   Lock.unlock();
   Call.replyJson(200, Stats);
 }
@@ -222,6 +228,13 @@
   m_Changed.wait_until(Lock, Due, [&] { return TimerService::now() >= Due; });
 }
 
+void FakePlatform::waitWhileHeld() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  ++m_Held;
+  m_Changed.wait(Lock, [this] { return !m_Faults.m_HoldAppends; });
+  --m_Held;
+}
+
 PlatformStream &FakePlatform::stream(const std::string &Name) {
   return m_Streams.try_emplace(Name, m_Options.m_Keep).first->second;
 }
--- a/Tests/Fakes/FakePlatform.h
+++ b/Tests/Fakes/FakePlatform.h
@@ -43,6 +43,7 @@
     bool m_VmsDown = false;
     Milliseconds m_Slow{0};
     int m_LoseAppendReplies = 0;
+    bool m_HoldAppends = false; ///< Appends wait until it is false again.
     std::set<std::string> m_RefuseFrom;
   };
 
@@ -60,6 +61,7 @@
   bool takeLostReply();
   MonotonicTime reserveAppend();
   void waitUntil(MonotonicTime Due);
+  void waitWhileHeld();
   PlatformStream &stream(const std::string &Name);
 
   const FakePlatformOptions m_Options;
@@ -69,6 +71,7 @@
   std::map<std::string, PlatformStream> m_Streams;
   std::vector<std::pair<MonotonicTime, nlohmann::json>> m_VmLists;
   MonotonicTime m_NextAppend;
+  int m_Held = 0; ///< Appends that wait until they are not held any more.
   std::uint64_t m_Appends = 0;
   std::uint64_t m_Records = 0;
   std::uint64_t m_Reads = 0;
