--- a/Tests/System/Support/Cluster.cpp
+++ b/Tests/System/Support/Cluster.cpp
@@ -52,6 +52,16 @@
   return Runner;
 }
 
+/// Returns whether the kernel has stopped all of a process.
+bool standsStill(pid_t Pid) {
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/stat");
+  std::string Number;
+  std::string Name;
+  std::string State;
+  File >> Number >> Name >> State;
+  return State == "T";
+}
+
 std::string readFile(const std::string &Path) {
   std::ifstream File(Path);
   std::stringstream Text;
@@ -127,7 +137,8 @@
   m_EndpointRunners.push_back(std::move(*Runner));
   for (std::size_t Index = 0; Index < Http.size(); ++Index)
     m_Endpoints.push_back({Name + "-" + std::to_string(Index), Service.m_Name,
-                           DataCentre, Http[Index], Http[0], Index});
+                           DataCentre, Http[Index], Http[0], Index,
+                           m_EndpointRunners.size() - 1});
   return absl::OkStatus();
 }
 
@@ -201,6 +212,25 @@
                     Planned, TimerService::wallMilliseconds()});
 }
 
+absl::Status Cluster::pauseProcess(std::size_t Vm, Role Which) {
+  ProcessRunner &Paused = process(Vm, Which);
+  m_PausedSince[{Vm, Which}] = TimerService::wallMilliseconds();
+  Paused.signal(SIGSTOP);
+  const MonotonicTime Due = TimerService::now() + ReadyLimit;
+  while (!standsStill(Paused.pid())) {
+    if (TimerService::now() > Due)
+      return makeFailure(FailureCode::Timeout, "the process does not stop");
+    std::this_thread::sleep_for(PollPeriod);
+  }
+  return absl::OkStatus();
+}
+
+void Cluster::resumeProcess(std::size_t Vm, Role Which) {
+  m_Isolations.push_back({m_Vms.at(Vm).m_Name, m_PausedSince.at({Vm, Which}),
+                          TimerService::wallMilliseconds()});
+  process(Vm, Which).signal(SIGCONT);
+}
+
 absl::Status Cluster::waitReady(std::size_t Vm, Role Which) {
   const std::string &Address = http(Vm, Which);
   const std::string Name =
@@ -229,6 +259,41 @@
       .status();
 }
 
+void Cluster::killEndpoint(std::size_t Endpoint) {
+  ProcessRunner &Killed = *m_EndpointRunners[m_Endpoints[Endpoint].m_Runner];
+  Killed.signal(SIGKILL);
+  Killed.wait().IgnoreError();
+}
+
+std::int64_t Cluster::endpointCount(const std::string &Service,
+                                    const std::string &What) const {
+  std::int64_t Sum = 0;
+  for (const ClusterEndpoint &Asked : m_Endpoints) {
+    // The first endpoint of a process tells the sum over all of them.
+    if (Asked.m_Service != Service || Asked.m_Index != 0)
+      continue;
+    auto Reply = callHttp(Asked.m_TestAddress, {"GET", "/test/stats", {}, ""});
+    if (Reply.ok() && Reply->m_Status == 200)
+      Sum += Reply->json()[What].get<std::int64_t>();
+  }
+  return Sum;
+}
+
+absl::StatusOr<Json> Cluster::readStream(const std::string &Stream) const {
+  auto Reply = callHttp(
+      m_PlatformAddress,
+      {"GET", "/v1/streams/" + Stream + "/records?from=0&limit=10000", {}, ""});
+  if (!Reply.ok())
+    return Reply.status();
+  return Reply->json()["records"];
+}
+
+Json Cluster::status(std::size_t Vm, Role Which) const {
+  auto Reply =
+      callHttp(http(Vm, Which), {"GET", "/v1/status", {}, ""}, ProbeTimeout);
+  return Reply.ok() ? Reply->json().value("role", Json()) : Json();
+}
+
 absl::Status Cluster::publishVms(const std::vector<std::string> &Leaving) {
   Json List = Json::array();
   auto Add = [&](const std::string &Name, const std::string &DataCentre,
@@ -262,11 +327,11 @@
   }
   Json Teams = Json::object();
   for (const std::string &Team : m_Options.m_Teams)
-    Teams[Team] = {{"weight", 1}, {"max_queued", 10000}};
+    Teams[Team] = {{"weight", 1}, {"max_queued", m_Options.m_MaxQueued}};
   return {{"services", std::move(Services)},
           {"teams", std::move(Teams)},
-          {"limits", Json::object()},
-          {"policy", Json::object()}};
+          {"limits", m_Options.m_Limits},
+          {"policy", m_Options.m_Policy}};
 }
 
 absl::StatusOr<std::int64_t> Cluster::publish(const Json &Body,
@@ -290,6 +355,8 @@
   for (const std::string &Journal : m_Journals)
     Status.Update(Into.addLines(readFile(Journal)));
   Into.m_Ends.insert(Into.m_Ends.end(), m_Ends.begin(), m_Ends.end());
+  Into.m_Isolations.insert(Into.m_Isolations.end(), m_Isolations.begin(),
+                           m_Isolations.end());
   for (const auto &[Key, Runners] : m_Processes)
     for (std::size_t Life = 0; Life < Runners.size(); ++Life)
       for (const std::string &Line : Runners[Life]->lines())
@@ -314,6 +381,7 @@
     for (const ClusterVm &Peer : m_Vms)
       if (Peer.m_Name != Vm.m_Name)
         Settings["seeds"].push_back(Peer.m_ControlLink);
+    Settings.update(m_Options.m_ControlSettings);
   }
   return Settings;
 }
--- a/Tests/System/Support/Cluster.h
+++ b/Tests/System/Support/Cluster.h
@@ -36,6 +36,12 @@
   std::vector<std::string> m_Teams = {"club-desk", "collectors"};
   std::vector<std::string> m_PlatformArguments{};
   std::string m_LogLevel = "info";
+  /// Sections of the configuration that start() publishes.
+  nlohmann::json m_Limits = nlohmann::json::object();
+  nlohmann::json m_Policy = nlohmann::json::object();
+  int m_MaxQueued = 10000; ///< Of each team.
+  /// Members added to the settings of the controls.
+  nlohmann::json m_ControlSettings = nlohmann::json::object();
 };
 
 enum class Role { Control, Dispatch, Entry };
@@ -60,6 +66,7 @@
   std::string m_Address;
   std::string m_TestAddress; ///< Takes `/test/mode` with m_Index.
   std::size_t m_Index = 0;
+  std::size_t m_Runner = 0; ///< Index of its process among endpoints'.
 };
 
 /// Runs a platform, entry VMs in several data centres and endpoints on
@@ -92,6 +99,13 @@
   /// Kills a process and notes it in the history.
   void killProcess(std::size_t Vm, Role Which);
 
+  /// Stops the time of a process (SIGSTOP), and waits until it stands still.
+  absl::Status pauseProcess(std::size_t Vm, Role Which);
+
+  /// Lets a paused process go on, and notes in the history that its VM could
+  /// not be reached meanwhile.
+  void resumeProcess(std::size_t Vm, Role Which);
+
   /// Waits until `/readyz` of a process says 200.
   absl::Status waitReady(std::size_t Vm, Role Which);
 
@@ -103,6 +117,21 @@
   absl::Status setMode(std::size_t Endpoint, const std::string &Mode,
                        double Factor = 1);
 
+  /// Kills the process that serves an endpoint and others of its service and
+  /// data centre.
+  void killEndpoint(std::size_t Endpoint);
+
+  /// Returns a sum over all endpoints of a service that live: "starts",
+  /// "finishes", "refusals" or "running".
+  std::int64_t endpointCount(const std::string &Service,
+                             const std::string &What) const;
+
+  /// Returns the records of a stream that the platform keeps.
+  absl::StatusOr<nlohmann::json> readStream(const std::string &Stream) const;
+
+  /// Returns what a role says of itself on `/v1/status`; null if nothing.
+  nlohmann::json status(std::size_t Vm, Role Which) const;
+
   /// Publishes the VM list; Leaving names the VMs that are leaving.
   absl::Status publishVms(const std::vector<std::string> &Leaving = {});
 
@@ -144,6 +173,8 @@
   std::vector<ClusterVm> m_Vms;
   std::map<std::pair<std::size_t, Role>, Lives> m_Processes;
   std::vector<ProcessEnd> m_Ends;
+  std::map<std::pair<std::size_t, Role>, std::int64_t> m_PausedSince;
+  std::vector<Isolation> m_Isolations;
 };
 
 } // namespace auburnhub::test
--- a/Tests/System/Support/HttpCall.cpp
+++ b/Tests/System/Support/HttpCall.cpp
@@ -50,15 +50,27 @@
   return nlohmann::json::parse(m_Body, nullptr, false);
 }
 
-absl::StatusOr<HttpReply> callHttp(const std::string &Address,
-                                   const HttpRequest &Request,
-                                   Milliseconds Timeout) {
+HttpConnection::HttpConnection(const std::string &Address)
+    : m_Session(std::make_unique<Poco::Net::HTTPClientSession>(
+          Poco::Net::SocketAddress(Address))) {
+  m_Session->setKeepAlive(true);
+}
+
+HttpConnection::~HttpConnection() = default;
+
+absl::StatusOr<HttpReply> HttpConnection::call(const HttpRequest &Request,
+                                               Milliseconds Timeout) {
   try {
-    Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Address)};
-    Session.setTimeout(Poco::Timespan(Timeout.count() * 1000));
+    const Poco::Timespan Limit(Timeout.count() * 1000);
+    m_Session->setTimeout(Limit);
+    // A connection that is open keeps the timeout that it was opened with.
+    if (m_Session->connected()) {
+      m_Session->socket().setReceiveTimeout(Limit);
+      m_Session->socket().setSendTimeout(Limit);
+    }
     Poco::Net::HTTPRequest Sent = toLibrary(Request);
-    Session.sendRequest(Sent) << Request.m_Body << std::flush;
-    return receive(Session);
+    m_Session->sendRequest(Sent) << Request.m_Body << std::flush;
+    return receive(*m_Session);
   } catch (const Poco::Net::ConnectionRefusedException &Error) {
     return makeFailure(FailureCode::NoEndpoint, Error.displayText());
   } catch (const Poco::TimeoutException &Error) {
@@ -68,6 +80,12 @@
   }
 }
 
+absl::StatusOr<HttpReply> callHttp(const std::string &Address,
+                                   const HttpRequest &Request,
+                                   Milliseconds Timeout) {
+  return HttpConnection(Address).call(Request, Timeout);
+}
+
 absl::StatusOr<nlohmann::json> postJson(const std::string &Address,
                                         const std::string &Path,
                                         const nlohmann::json &Body) {
--- a/Tests/System/Support/HttpCall.h
+++ b/Tests/System/Support/HttpCall.h
@@ -7,8 +7,13 @@
 #include <nlohmann/json.hpp>
 
 #include <map>
+#include <memory>
 #include <string>
 
+namespace Poco::Net {
+class HTTPClientSession;
+} // namespace Poco::Net
+
 namespace auburnhub::test {
 
 struct HttpRequest {
@@ -29,6 +34,23 @@
   nlohmann::json json() const;
 };
 
+/// A connection on which requests follow one another, as callers keep it.
+class HttpConnection {
+public:
+  /// Address is "host:port".
+  explicit HttpConnection(const std::string &Address);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection &) = delete;
+  HttpConnection &operator=(const HttpConnection &) = delete;
+
+  /// As callHttp(), but connects only if the connection is closed.
+  absl::StatusOr<HttpReply> call(const HttpRequest &Request,
+                                 Milliseconds Timeout);
+
+private:
+  std::unique_ptr<Poco::Net::HTTPClientSession> m_Session;
+};
+
 /// Sends one request on a connection of its own and reads the whole reply.
 ///
 /// Address is "host:port"; the timeout holds for connecting and for each wait
--- a/Tests/System/Support/RecordingCaller.cpp
+++ b/Tests/System/Support/RecordingCaller.cpp
@@ -70,9 +70,16 @@
 absl::StatusOr<HttpReply>
 RecordingCaller::submit(const std::string &Address,
                         const CallerSubmission &Sent) {
+  HttpConnection Connection(Address);
+  return submit(Connection, Sent);
+}
+
+absl::StatusOr<HttpReply>
+RecordingCaller::submit(HttpConnection &Connection,
+                        const CallerSubmission &Sent) {
   const std::string Call = noteInvocation(Sent);
   absl::StatusOr<HttpReply> Reply =
-      callHttp(Address, toRequest(Sent), Sent.m_Timeout + AnswerMargin);
+      Connection.call(toRequest(Sent), Sent.m_Timeout + AnswerMargin);
   if (!Reply.ok() && failureCode(Reply.status()) == FailureCode::NoEndpoint)
     dropInvocation(Call);
   else
--- a/Tests/System/Support/RecordingCaller.h
+++ b/Tests/System/Support/RecordingCaller.h
@@ -34,6 +34,10 @@
   absl::StatusOr<HttpReply> submit(const std::string &Address,
                                    const CallerSubmission &Sent);
 
+  /// Sends a submission on a connection that is kept.
+  absl::StatusOr<HttpReply> submit(HttpConnection &Connection,
+                                   const CallerSubmission &Sent);
+
   /// Returns what has been recorded so far.
   History history() const;
 
