Coordination: Check the policy section of a configuration

Control accepted a record whose policy section dispatch then refused, so that the two went on with different configurations. Seen failing before: the new case accepted all three records. A second check in control alone was ruled out: the readers would differ again.

--- a/Source/Coordination/ConfigurationBody.cpp
+++ b/Source/Coordination/ConfigurationBody.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnhub/Base/SettingsReader.h"
 #include "auburnhub/Messages/Codec.h"
+#include "auburnhub/Policy/PolicyParameters.h"
 
 #include <set>
 
@@ -46,6 +47,8 @@
                   In.get<std::int64_t>() >= std::numeric_limits<Value>::min() &&
                   In.get<std::int64_t>() <= std::numeric_limits<Value>::max();
       expect(Fits, Path, "expected a whole number");
+    } else if constexpr (std::floating_point<Value>) {
+      expect(In.is_number(), Path, "expected a number");
     } else {
       expect(In.is_object(), Path, "expected a mapping");
     }
@@ -132,6 +135,16 @@
               HourMs);
 }
 
+void checkPolicy(const json &Policy, RangeChecker &Check) {
+  absl::StatusOr<PolicyParameters> Parameters =
+      fromJson<PolicyParameters>(Policy);
+  absl::Status Checked = Parameters.status();
+  if (Checked.ok())
+    Checked = Parameters->validate();
+  if (!Checked.ok())
+    Check.m_Faults.push_back(failureDetail(Checked));
+}
+
 std::string joinLines(const std::vector<std::string> &Lines) {
   std::string Text;
   for (const std::string &Line : Lines)
@@ -151,6 +164,7 @@
                 std::numeric_limits<int>::max());
   }
   checkLimits(m_Limits, Check);
+  checkPolicy(m_Policy, Check);
   return std::move(Check.m_Faults);
 }
 
@@ -163,6 +177,8 @@
   std::vector<std::string> Faults;
   ShapeChecker Checker(Schema > ConfigurationSchema, Faults);
   Checker.check<ConfigurationBody>(Body, "");
+  if (Body.is_object() && Body.contains("policy"))
+    Checker.check<PolicyParameters>(Body["policy"], "policy");
   if (!Faults.empty())
     return makeFailure(FailureCode::BadRequest, joinLines(Faults));
   absl::StatusOr<ConfigurationBody> Result = fromJson<ConfigurationBody>(Body);
--- a/Tests/Coordination/ConfigurationHistoryTest.cpp
+++ b/Tests/Coordination/ConfigurationHistoryTest.cpp
@@ -63,6 +63,24 @@
 
 BOOST_AUTO_TEST_SUITE(AConfigurationHistory)
 
+BOOST_AUTO_TEST_CASE(IsNotAcceptedWithAPolicyThatDispatchWouldRefuse) {
+  ConfigurationHistory History;
+  std::int64_t Offset = 0;
+  for (const nlohmann::json &Policy :
+       {nlohmann::json{{"long_share", 5}}, nlohmann::json{{"max_losses", "x"}},
+        nlohmann::json{{"no_such_parameter", 1}}}) {
+    nlohmann::json Data = makeRecord("change-" + std::to_string(Offset), -1);
+    Data["body"]["policy"] = Policy;
+    BOOST_TEST(static_cast<int>(apply(History, Offset++, Data)) ==
+                   static_cast<int>(ConfigurationVerdict::Malformed),
+               Policy.dump());
+  }
+  BOOST_TEST(History.offset() == -1);
+  nlohmann::json Newer = makeRecord("newer", -1, ConfigurationSchema + 1);
+  Newer["body"]["policy"] = {{"no_such_parameter", 1}, {"long_share", 0.5}};
+  BOOST_TEST((apply(History, Offset, Newer) == ConfigurationVerdict::Accepted));
+}
+
 BOOST_AUTO_TEST_CASE(AcceptsTheFirstOfTwoRecordsOnTheSameBase) {
   ConfigurationHistory History;
   using Verdict = ConfigurationVerdict;
