Dispatch: Let the claim decide between teams that use one id at once

Cause: while the claim of one team's submission was open, the same id from another team was answered 404 at once, also when that other team was the owner and asked again in another data centre. Seen as OwnAnswerTest failing now and then in TeamsThatUseAnIdAfterItsOwner (1 of 6 runs). Ruled out: the claim log; it named the right owner.

Such calls now wait until the claim is decided. The new test failed before (two answers instead of none). After: DispatchTest and 6 of 6 runs of OwnAnswerTest pass.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -172,6 +172,12 @@
 
 void Dispatcher::join(PeerId From, const Submit &Msg, Submission &Known,
                       const std::string &Digest) {
+  bool IsSame = Known.m_Team == Msg.m_Team && Known.m_Digest == Digest;
+  if (Known.m_Claiming && !IsSame) {
+    // The id may belong to either; the claim decides.
+    Known.m_Deferred.push_back({From, Msg, TimerService::now()});
+    return;
+  }
   // Another team must not learn that the id exists.
   if (Known.m_Team != Msg.m_Team) {
     refuse(From, Msg, FailureCode::UnknownSubmission,
@@ -233,19 +239,40 @@
   Submission *Claimer = m_Submissions.find(Msg.m_Id);
   if (!Claimer || !Claimer->m_Claiming)
     return;
+  std::vector<DeferredSubmit> Deferred = std::move(Claimer->m_Deferred);
+  Claimer->m_Deferred.clear();
   if (!Msg.m_Failure.empty()) {
     onClaimFailed(*Claimer, Msg);
+    for (const DeferredSubmit &Item : Deferred)
+      refuse(Item.m_From, Item.m_Message,
+             failureFromName(Msg.m_Failure).value_or(FailureCode::Internal),
+             Msg.m_Detail);
     return;
   }
-  if (Msg.m_Winner != m_Self) {
+  if (Msg.m_Winner != m_Self)
     onClaimLost(*Claimer, Msg);
-    return;
-  }
+  else
+    onClaimWon(*Claimer);
+  resubmit(std::move(Deferred));
+}
+
+void Dispatcher::onClaimWon(Submission &Owned) {
   m_ClaimsWon.add();
-  m_Log.info("claim_won", {{"submission", Msg.m_Id.str()}});
-  Claimer->m_Claiming = false;
-  if (!Claimer->isOver())
-    run(*Claimer);
+  m_Log.info("claim_won", {{"submission", Owned.m_Id.str()}});
+  Owned.m_Claiming = false;
+  if (!Owned.isOver())
+    run(Owned);
+}
+
+void Dispatcher::resubmit(std::vector<DeferredSubmit> Deferred) {
+  MonotonicTime Now = TimerService::now();
+  for (DeferredSubmit &Item : Deferred) {
+    auto Waited =
+        std::chrono::duration_cast<Milliseconds>(Now - Item.m_ArrivedAt);
+    std::int64_t Left = Item.m_Message.m_TimeoutMs - Waited.count();
+    Item.m_Message.m_TimeoutMs = std::max<std::int64_t>(Left, 1);
+    submit(Item.m_From, Item.m_Message);
+  }
 }
 
 void Dispatcher::onClaimLost(Submission &Loser, const ClaimReply &Msg) {
--- a/Source/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/Dispatcher.h
@@ -98,6 +98,8 @@
                       const std::string &Digest);
   void forward(PeerId From, const Submit &Msg, Incarnation Owner);
   void forwardCancel(PeerId From, const Cancel &Msg, Incarnation Owner);
+  void resubmit(std::vector<DeferredSubmit> Deferred);
+  void onClaimWon(Submission &Owned);
   void onClaimLost(Submission &Loser, const ClaimReply &Msg);
   void onClaimFailed(Submission &Claimer, const ClaimReply &Msg);
   void run(Submission &Owned);
--- a/Source/Dispatch/Submission.h
+++ b/Source/Dispatch/Submission.h
@@ -19,6 +19,14 @@
   CallNumber m_Call = 0;
 };
 
+/// A call under an id whose claim is not decided yet, by another team or with
+/// another body than the one that claims.
+struct DeferredSubmit {
+  PeerId m_From = 0;
+  Submit m_Message;
+  MonotonicTime m_ArrivedAt;
+};
+
 /// One task of a submission that this dispatcher owns.
 struct SubmissionTask {
   StateChart::StateId m_State = 0; ///< In the chart task-life.
@@ -53,6 +61,7 @@
   /// Attempts that may have started; zero proves that nothing ran.
   std::size_t m_MayHaveStarted = 0;
   std::vector<Waiter> m_Waiters;
+  std::vector<DeferredSubmit> m_Deferred;
   std::optional<Answer> m_Answer; ///< Set once, when it is over.
 
   bool isOver() const { return m_Answer.has_value(); }
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -266,6 +266,27 @@
   BOOST_TEST(m_Endpoint.m_Starts == 0);
 }
 
+BOOST_AUTO_TEST_CASE(LetsTheClaimDecideBetweenTeams) {
+  Submit Foreign = makeSubmit(callerId());
+  Foreign.m_Team = "shop";
+  Submit Own = makeSubmit(Foreign.m_Id);
+  Own.m_Call = 6;
+  submit(Foreign, 0);
+  submit(Own, 0);
+  BOOST_TEST(m_Answers.empty());
+  ClaimReply Decided = makeClaimReply(m_Claims[0], Other);
+  Decided.m_Team = Own.m_Team;
+  run([&] { m_Dispatcher->onClaimReply(Decided); });
+  // The team that lost learns nothing, the other's claim is asked for again.
+  BOOST_TEST_REQUIRE(m_Answers.size() == 1u);
+  BOOST_TEST(m_Answers[0].m_Call == Foreign.m_Call);
+  BOOST_TEST(m_Answers[0].m_Failure == "unknown-submission");
+  BOOST_TEST_REQUIRE(m_Claims.size() == 2u);
+  run([&] { m_Dispatcher->onClaimReply(Decided); });
+  BOOST_TEST_REQUIRE(m_Forwarded.size() == 1u);
+  BOOST_TEST(m_Forwarded[0].m_Team == Own.m_Team);
+}
+
 BOOST_AUTO_TEST_CASE(NeverSaysNotRunWhileItsClaimIsOpen) {
   Submit Msg = makeSubmit(callerId());
   Msg.m_TimeoutMs = 1;
