--- a/Source/Coordination/ConfigurationHistory.cpp
+++ b/Source/Coordination/ConfigurationHistory.cpp
@@ -66,7 +66,7 @@
   m_NextOffset = First;
   m_Held.clear();
   m_UnreadableBases.clear();
-  bool IsKnown = m_Accepted && m_Accepted->m_Offset >= First;
+  bool IsKnown = m_Accepted && m_Accepted->m_Offset + 1 >= First;
   m_HeldFrom.reset();
   if (!IsKnown)
     m_HeldFrom = First;
@@ -112,14 +112,16 @@
   m_HeldFrom.reset();
   bool IsAnchored = LargestBase <= offset();
   for (Candidate &What : std::exchange(m_Held, {})) {
-    if (!IsAnchored && What.m_Record.m_Base == LargestBase) {
-      IsAnchored = true;
-      Decisions.push_back(describe(ConfigurationVerdict::Accepted,
-                                   What.m_Offset, What.m_Record));
-      accept(std::move(What));
+    if (IsAnchored) {
+      Decisions.push_back(decide(std::move(What)));
       continue;
     }
-    Decisions.push_back(decide(std::move(What)));
+    IsAnchored = What.m_Record.m_Base == LargestBase;
+    Decisions.push_back(describe(IsAnchored ? ConfigurationVerdict::Accepted
+                                            : ConfigurationVerdict::Conflict,
+                                 What.m_Offset, What.m_Record));
+    if (IsAnchored)
+      accept(std::move(What));
   }
   return Decisions;
 }
--- a/include/auburnhub/Messages/Messages.h
+++ b/include/auburnhub/Messages/Messages.h
@@ -88,7 +88,11 @@
   std::int64_t m_RetryAfterMs = 0;
   std::vector<Bytes> m_Results;
   std::string m_OwnerVm;
+  /// The sender drains and did nothing with the submission, so that another
+  /// dispatcher may be asked for all but its own tickets.
+  bool m_AskAnother = false;
   template <typename Visitor> void fields(Visitor &V) {
+    V("ask_another", m_AskAnother);
     V("call", m_Call);
     V("id", m_Id);
     V("outcome", m_Outcome);
@@ -100,6 +104,20 @@
   }
 };
 
+/// Dispatcher to entry: I drain, send me nothing new but what concerns my
+/// submissions. Links keep their order, so once the entry's DrainingSeen has
+/// arrived nothing new follows it.
+struct Draining {
+  static constexpr std::string_view TypeName = "draining";
+  template <typename Visitor> void fields(Visitor &) {}
+};
+
+/// The answer to Draining.
+struct DrainingSeen {
+  static constexpr std::string_view TypeName = "draining_seen";
+  template <typename Visitor> void fields(Visitor &) {}
+};
+
 /// Asks for the cancellation of a submission; Answer to Submit still follows.
 struct Cancel {
   static constexpr std::string_view TypeName = "cancel";
@@ -261,7 +279,8 @@
 struct Heartbeat {
   static constexpr std::string_view TypeName = "heartbeat";
   Member m_Self;
-  /// Control addresses of other members, so that a newcomer finds them all.
+  /// Control addresses of other members, so that a newcomer finds them all;
+  /// only those not sent before on this link.
   std::vector<std::string> m_Known;
   template <typename Visitor> void fields(Visitor &V) {
     V("self", m_Self);
@@ -269,23 +288,17 @@
   }
 };
 
-/// Control to control in place of Heartbeat while nothing has changed since the
-/// Heartbeat sent before on the same link.
+/// Control to control in place of Heartbeat: the Heartbeat sent before on the
+/// same link still holds.
 struct MemberPulse {
   static constexpr std::string_view TypeName = "pulse";
-  std::string m_Vm;
-  std::uint64_t m_Version = 0;
-  template <typename Visitor> void fields(Visitor &V) {
-    V("vm", m_Vm);
-    V("version", m_Version);
-  }
+  template <typename Visitor> void fields(Visitor &) {}
 };
 
 /// The answer to a MemberPulse of a member whose description is not known.
 struct MemberQuery {
   static constexpr std::string_view TypeName = "member_query";
-  std::string m_Vm;
-  template <typename Visitor> void fields(Visitor &V) { V("vm", m_Vm); }
+  template <typename Visitor> void fields(Visitor &) {}
 };
 
 /// Control to the local processes: the members that answer heartbeats (this VM
