Dispatch: Refuse ids that were forgotten before the window was made longer

Cause: a dispatcher forgets an id by the window in force, the control a little later, by spans of 10 s. When the window was made longer in between, an id that had run was inside it again: its claim was found to be won by this incarnation, nothing was remembered of it, and it started a second time. Ruled out: the claim's order and the control's own mark of what it forgot; both did as they should. Before: AtMostOnceTest/AfterItWasForgottenAndTheWindowMadeLonger saw 2 starts of a request that may not be repeated (request-repeated). After: 1, the resubmissions get unknown. The dispatcher now refuses what was minted before the newest bound by which it ever forgot.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -136,6 +136,12 @@
   if (Id.timeMs() < Now - Limits.m_ResubmissionWindowMs)
     return makeFailure(FailureCode::IdExpired,
                        "the id is older than the resubmission window");
+  // The claim of an id may outlive what was remembered of it here, so that a
+  // claim that is won again does not prove that nothing ran.
+  if (Id.timeMs() < m_ForgottenBeforeMs)
+    return makeFailure(FailureCode::IdExpired,
+                       "the id was minted when the resubmission window was "
+                       "shorter, and is forgotten");
   return absl::OkStatus();
 }
 
@@ -527,6 +533,7 @@
   const LimitsConfiguration &Limits = m_Configuration->m_Body.m_Limits;
   std::int64_t Oldest = TimerService::wallMilliseconds() -
                         Limits.m_ResubmissionWindowMs - Limits.m_ClockBoundMs;
+  m_ForgottenBeforeMs = std::max(m_ForgottenBeforeMs, Oldest);
   m_Submissions.forgetBefore(Oldest);
   m_Tickets.forgetBefore(Oldest);
   forgetWinnersBefore(Oldest);
--- a/Source/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/Dispatcher.h
@@ -125,6 +125,8 @@
   std::unordered_map<SubmissionId, Incarnation> m_Winners;
   std::multimap<std::int64_t, SubmissionId> m_WinnersByTime;
   std::vector<SubmissionId> m_ToDrop;
+  /// Nothing is remembered of ids minted before; it never goes back.
+  std::int64_t m_ForgottenBeforeMs = 0;
   CallNumber m_LastCall = 0;
   bool m_Draining = false;
   Counter &m_Accepted;
--- a/Tests/System/AtMostOnceTest.cpp
+++ b/Tests/System/AtMostOnceTest.cpp
@@ -45,6 +45,16 @@
   FourVms() : Fixture(twoDataCentres(2)) {}
 };
 
+struct ShortWindow : Fixture {
+  ShortWindow() : Fixture(options()) {}
+  static ClusterOptions options() {
+    ClusterOptions Options = twoDataCentres();
+    Options.m_Limits = {{"resubmission_window_ms", 500},
+                        {"clock_bound_ms", 500}};
+    return Options;
+  }
+};
+
 /// Sends the same submission to every VM at once.
 std::vector<SubmitResult> submitEverywhere(RecordedRun &Run,
                                            const CallerSubmission &Sent) {
@@ -103,6 +113,30 @@
   m_Run.checkHolds();
 }
 
+BOOST_FIXTURE_TEST_CASE(AfterItWasForgottenAndTheWindowMadeLonger,
+                        ShortWindow) {
+  const CallerSubmission Sent = onceOnly(m_Run.callerId(), "longer-window");
+  BOOST_TEST(statusOf(m_Run.submit(Here, Sent)) == 200);
+  waitUntil("the submission is forgotten", [&] {
+    return m_Run.cluster().status(Here, Role::Dispatch)["submissions"] == 0;
+  });
+  nlohmann::json Longer = m_Run.cluster().configuration();
+  Longer["limits"] = {{"resubmission_window_ms", 300000},
+                      {"clock_bound_ms", 60000}};
+  auto Offset = m_Run.cluster().publish(Longer, 0);
+  m_Run.require(Offset.status());
+  for (std::size_t Vm : {Here, There})
+    for (Role Which : {Role::Dispatch, Role::Entry})
+      waitUntil("the longer window is in force", [&] {
+        const auto Status = m_Run.cluster().status(Vm, Which);
+        return Status["configuration_offset"] == *Offset;
+      });
+  for (std::size_t Vm : {Here, There})
+    BOOST_TEST(outcomeOf(m_Run.submit(Vm, Sent)) == "unknown");
+  BOOST_TEST(m_Run.starts(Sent.m_Key) == 1u);
+  m_Run.checkHolds();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenItsDispatcherIsKilled)
