--- a/Utilities/bench/DecisionCost.cpp
+++ b/Utilities/bench/DecisionCost.cpp
@@ -27,6 +27,7 @@
     const TeamSpec Teams[] = {{"club-desk", 1, 100000}};
     m_Scheduler.setTeams(Teams);
     std::vector<EndpointSpec> Specs;
+    Specs.reserve(static_cast<std::size_t>(Endpoints));
     for (int I = 0; I < Endpoints; ++I)
       Specs.push_back({"127.0.0.1:" + std::to_string(I + 1), "tiles", Slots});
     m_Scheduler.setEndpoints(m_Now, Specs);
