--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <future>
+#include <iterator>
 
 namespace auburnhub {
 namespace {
@@ -95,6 +96,8 @@
 void ControlNode::stop() {
   for (TimerService::Subscription Id : m_Subscriptions)
     m_Timers.cancel(Id);
+  m_Claims.requestStop();
+  m_Configuration.requestStop();
   m_VmList.stop();
   m_Claims.stop();
   m_Configuration.stop();
@@ -110,6 +113,7 @@
 
 void ControlNode::beginStop(std::function<void(bool)> Drained) {
   m_Task.post([this, Drained = std::move(Drained)] {
+    m_IsStopping = true;
     m_Drained = Drained;
     changeSelf([](Member &Self) { Self.m_DispatchReady = false; });
     heartbeat();
@@ -208,7 +212,7 @@
 }
 
 void ControlNode::on(PeerId Peer, const ClaimRequest &Msg) {
-  if (!m_Drained) {
+  if (!m_IsStopping) {
     m_Claims.request(Peer, Msg);
     return;
   }
@@ -227,7 +231,7 @@
     if (Msg.m_Role == "dispatch") {
       Self.m_DispatchAddress = Msg.m_LinkAddress;
       Self.m_DispatchIncarnation = Msg.m_Incarnation;
-      Self.m_DispatchReady = Msg.m_Ready && !m_Drained;
+      Self.m_DispatchReady = Msg.m_Ready && !m_IsStopping;
     }
     if (Msg.m_Role == "entry")
       Self.m_EntryAddress = Msg.m_HttpAddress;
@@ -242,9 +246,10 @@
   publishMembers();
 }
 
-void ControlNode::on(PeerId Peer, const MemberPulse &Msg) {
-  if (!m_Members.alive(Msg.m_Vm, Msg.m_Version, monotonicMilliseconds()))
-    m_Hub.send(Peer, MemberQuery{Msg.m_Vm});
+void ControlNode::on(PeerId Peer, const MemberPulse &) {
+  const std::string &Vm = m_Hub.peers().at(Peer).m_Vm;
+  if (!m_Members.alive(Vm, monotonicMilliseconds()))
+    m_Hub.send(Peer, MemberQuery{});
 }
 
 void ControlNode::on(PeerId Peer, const MemberQuery &) {
@@ -291,15 +296,17 @@
                                 const std::set<std::string> &Known) {
   const Member &Self = m_Members.self();
   SentHeartbeat &Sent = m_Sent[Peer];
-  bool IsNews = Sent.m_Version != Self.m_Version ||
-                !std::includes(Sent.m_Known.begin(), Sent.m_Known.end(),
-                               Known.begin(), Known.end());
-  if (!IsNews) {
-    m_Hub.send(Peer, MemberPulse{Self.m_Vm, Self.m_Version});
+  Heartbeat Msg;
+  Msg.m_Self = Self;
+  std::set_difference(Known.begin(), Known.end(), Sent.m_Known.begin(),
+                      Sent.m_Known.end(), std::back_inserter(Msg.m_Known));
+  if (Sent.m_Version == Self.m_Version && Msg.m_Known.empty()) {
+    m_Hub.send(Peer, MemberPulse{});
     return;
   }
-  m_Hub.send(Peer, Heartbeat{Self, {Known.begin(), Known.end()}});
-  Sent = {Self.m_Version, Known};
+  m_Hub.send(Peer, Msg);
+  Sent.m_Version = Self.m_Version;
+  Sent.m_Known.insert(Msg.m_Known.begin(), Msg.m_Known.end());
 }
 
 std::map<std::string, PeerId> ControlNode::controlLinks() const {
--- a/Source/Dispatch/SlotOwnership.cpp
+++ b/Source/Dispatch/SlotOwnership.cpp
@@ -56,22 +56,15 @@
                                    Members.m_LeavingVms.end());
   for (const auto &[Name, Service] : Configuration.m_Services) {
     int SlotsHere = 0;
-    bool OwnsAny = false;
     for (const EndpointConfiguration &Item : Service.m_Endpoints) {
       if (LeavingVms.contains(Item.m_Vm))
         Result.m_Leaving.insert(Item.m_Address);
       if (Item.m_DataCentre == DataCentre)
         SlotsHere += Item.m_Slots;
       const Candidates &Owners = candidatesFor(Ready, Item.m_DataCentre);
-      int Slots = slotsOf(Item, Owners, Vm);
-      if (Slots == 0)
-        continue;
-      Result.m_Endpoints.push_back({Item.m_Address, Name, Slots});
-      OwnsAny = true;
-    }
-    if (!OwnsAny && !Service.m_Endpoints.empty())
       Result.m_Endpoints.push_back(
-          {Service.m_Endpoints.front().m_Address, Name, 0});
+          {Item.m_Address, Name, slotsOf(Item, Owners, Vm)});
+    }
     auto Peers = Ready.m_ByDataCentre.find(DataCentre);
     int Sharers = Peers == Ready.m_ByDataCentre.end()
                       ? 1
