--- a/Utilities/capacity.py
+++ b/Utilities/capacity.py
@@ -3,10 +3,11 @@
 
 Usage: capacity.py BIN_DIR [--runs N] [--window S] [PART]...
 
-Parts: peers, endpoints, sharing, teams, changes, claims, dispatch, path, queued,
-waiting; all if none is named. Starts the real processes and small stand-ins on loopback and prints
-a table and the least-squares slopes of each part. Processor time is CPU time
-consumed, so that other work on the machine matters little.
+Parts: peers, slow-peers, endpoints, sharing, teams, changes, claims, dispatch,
+path, queued, waiting; all if none is named. Starts the real processes and small
+stand-ins on loopback and prints a table and the least-squares slopes of each
+part. Processor time is CPU time consumed, so that other work on the machine
+matters little.
 """
 
 import argparse
@@ -26,7 +27,8 @@
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 DATA_CENTRES = 6
 PEER_COUNTS = (2, 10, 20, 40)
-SHARING_COUNTS = (6, 24, 40)
+SLOW_HEARTBEATS = {"heartbeat_ms": 1000, "heartbeat_timeout_ms": 5000}
+SHARING_COUNTS = (1, 10, 20, 40)
 LETTER_ENDPOINTS = 1800
 LETTER_TEAMS = 240
 ENDPOINT_COUNTS = (0, 600, 1200, 1800)
@@ -123,8 +125,8 @@
         self._addresses = process.first_line()["http"]
         self._slots = slots
 
-    def start_controls(self, count):
-        self.vms = [demo.Vm(f"entry-{index}", f"dc-{index % DATA_CENTRES}")
+    def start_controls(self, count, data_centres=DATA_CENTRES, settings=None):
+        self.vms = [demo.Vm(f"entry-{index}", f"dc-{index % data_centres}")
                     for index in range(count)]
         self._list_vms()
         self.publish()
@@ -133,7 +135,8 @@
             self.start_product(vm, "control", {
                 "link": vm.address("control_link"), "platform": self.platform,
                 "seeds": [seed for seed in seeds
-                          if seed != vm.address("control_link")]})
+                          if seed != vm.address("control_link")],
+                **(settings or {})})
 
     def start_path(self):
         """Starts a dispatcher and an entry beside the first control."""
@@ -306,6 +309,15 @@
         return measure(rig, options.window, ["control"])
 
 
+def run_slow_peers(options, count):
+    """Measures controls that exchange heartbeats half as often."""
+    with Rig(options.bin_dir) as rig:
+        rig.start_controls(count, settings=SLOW_HEARTBEATS)
+        rig.wait_until_ready()
+        time.sleep(SETTLE_S)
+        return measure(rig, options.window, ["control"])
+
+
 def run_endpoints(options, count):
     with Rig(options.bin_dir, endpoints=count) as rig:
         rig.start_controls(2)
@@ -315,8 +327,9 @@
 
 
 def run_sharing(options, count):
+    """Measures controls of one data centre that share a long VM list."""
     with Rig(options.bin_dir, endpoints=LETTER_ENDPOINTS) as rig:
-        rig.start_controls(count)
+        rig.start_controls(count, data_centres=1)
         rig.wait_until_ready()
         time.sleep(SETTLE_S)
         return measure(rig, options.window, ["control"])
@@ -418,6 +431,7 @@
 
 PARTS = {
     "peers": ("control processes", PEER_COUNTS, run_peers),
+    "slow-peers": ("control processes", PEER_COUNTS, run_slow_peers),
     "endpoints": ("endpoints", ENDPOINT_COUNTS, run_endpoints),
     "sharing": ("control processes", SHARING_COUNTS, run_sharing),
     "teams": ("teams", TEAM_COUNTS, run_teams),
@@ -475,7 +489,7 @@
                         help=", ".join(PARTS))
     parser.add_argument("--runs", type=int, default=2)
     parser.add_argument("--window", type=float, default=12)
-    options = parser.parse_args()
+    options = parser.parse_intermixed_args()
     unknown = set(options.parts) - set(PARTS)
     if unknown:
         parser.error("unknown part: " + ", ".join(sorted(unknown)))
