--- a/Utilities/capacity.py
+++ b/Utilities/capacity.py
@@ -4,7 +4,7 @@
 Usage: capacity.py BIN_DIR [--runs N] [--window S] [PART]...
 
 Parts: peers, slow-peers, endpoints, sharing, teams, changes, claims, dispatch,
-path, queued, waiting; all if none is named. Starts the real processes and small
+path, queued, waiting, leaving; all if none is named. Starts the real processes and small
 stand-ins on loopback and prints a table and the least-squares slopes of each
 part. Processor time is CPU time consumed, so that other work on the machine
 matters little.
@@ -16,6 +16,7 @@
 import json
 import os
 import re
+import signal
 import sys
 import tempfile
 import threading
@@ -28,6 +29,7 @@
 DATA_CENTRES = 6
 PEER_COUNTS = (2, 10, 20, 40)
 SLOW_HEARTBEATS = {"heartbeat_ms": 1000, "heartbeat_timeout_ms": 5000}
+LEAVING_COUNTS = (5, 10, 20)
 SHARING_COUNTS = (1, 10, 20, 40)
 LETTER_ENDPOINTS = 1800
 LETTER_TEAMS = 240
@@ -128,7 +130,7 @@
     def start_controls(self, count, data_centres=DATA_CENTRES, settings=None):
         self.vms = [demo.Vm(f"entry-{index}", f"dc-{index % data_centres}")
                     for index in range(count)]
-        self._list_vms()
+        self.list_vms()
         self.publish()
         seeds = [vm.address("control_link") for vm in self.vms[:2]]
         for vm in self.vms:
@@ -177,13 +179,16 @@
         except OSError:
             return False
 
-    def _list_vms(self):
+    def list_vms(self, leaving=()):
         vms = [{"vm": vm.name, "data_centre": vm.data_centre, "role": "entry",
                 "address": vm.address("control_link"), "state": "live"}
                for vm in self.vms]
         vms += [{"vm": endpoint["vm"], "data_centre": endpoint["data_centre"],
                  "role": "endpoint", "address": endpoint["address"],
                  "state": "live"} for endpoint in self._endpoint_list()]
+        for vm in vms:
+            if vm["vm"] in leaving:
+                vm["state"] = "leaving"
         self._post("/test/vms", {"vms": vms})
 
     def _endpoint_list(self):
@@ -234,6 +239,14 @@
             {"Auburnhub-Team": "team-0",
              "Idempotency-Key": demo.new_caller_id()})[0]
 
+    def kill_control(self, index):
+        """Kills a control; it is measured no more."""
+        os.kill(self.nodes["control"].pop(index).pid, signal.SIGKILL)
+
+    def knows_leaving(self, node, vm):
+        status = json.loads(demo.call(node.http, "GET", "/v1/status")[2])
+        return vm in json.dumps(status["role"]["members"]["leaving"])
+
     def platform_stats(self):
         return json.loads(demo.call(self.platform, "GET", "/test/stats")[2])
 
@@ -335,6 +348,25 @@
         return measure(rig, options.window, ["control"])
 
 
+def run_leaving(options, count):
+    """Times the news of a leaving VM just after a control was killed."""
+    with Rig(options.bin_dir, endpoints=LETTER_ENDPOINTS) as rig:
+        rig.start_controls(count, data_centres=1)
+        rig.wait_until_ready()
+        time.sleep(SETTLE_S)
+        rig.kill_control(count // 2)
+        rig.list_vms(leaving=("worker-7",))
+        began = time.monotonic()
+        waiting = rig.nodes["control"]
+        while waiting:
+            waiting = [node for node in waiting
+                       if not rig.knows_leaving(node, "worker-7")]
+            if time.monotonic() > began + demo.READY_LIMIT_S:
+                raise demo.DemoError("not all learned of the leaving VM")
+            time.sleep(demo.POLL_S)
+        return {"s until all know": time.monotonic() - began}
+
+
 def run_teams(options, count):
     with Rig(options.bin_dir, teams=count) as rig:
         rig.start_controls(2)
@@ -440,6 +472,7 @@
     "dispatch": ("starts/s", STARTS_PER_S, run_dispatch),
     "path": ("endpoints", ENDPOINT_COUNTS, run_path),
     "waiting": ("waiting calls", WAITING_CALLS, run_waiting),
+    "leaving": ("control processes", LEAVING_COUNTS, run_leaving),
     "queued": ("queued tasks", QUEUED_TASKS, run_queued),
 }
 
