--- a/Tests/System/Support/History.cpp
+++ b/Tests/System/Support/History.cpp
@@ -39,6 +39,7 @@
   Reply.m_Outcome = Line.value("outcome", "");
   Reply.m_Problem = Line.value("problem", "");
   Reply.m_Submission = Line.value("submission", "");
+  Reply.m_RetryAfter = Line.value("retry_after", false);
   Reply.m_ResultDigests =
       Line.value("result_digests", std::vector<std::string>());
   Reply.m_TimeMs = timeOf(Line);
--- a/Tests/System/Support/History.h
+++ b/Tests/System/Support/History.h
@@ -29,9 +29,10 @@
 struct Answer {
   std::string m_Call;
   int m_Status = 0;
-  std::string m_Outcome;    ///< `outcome` of the problem document.
-  std::string m_Problem;    ///< Last part of the problem's type, if known.
-  std::string m_Submission; ///< As the reply names it.
+  std::string m_Outcome;     ///< `outcome` of the problem document.
+  std::string m_Problem;     ///< Last part of the problem's type, if known.
+  std::string m_Submission;  ///< As the reply names it.
+  bool m_RetryAfter = false; ///< A later try was invited, as by a refusal.
   std::vector<std::string> m_ResultDigests; ///< In the order of the tasks.
   std::int64_t m_TimeMs = 0;
 };
--- a/Tests/System/Support/HistoryChecker.cpp
+++ b/Tests/System/Support/HistoryChecker.cpp
@@ -284,10 +284,19 @@
     }
   }
 
+  /// Returns whether a process that stops refused a new call. Under a caller's
+  /// id that is `unknown`, for an earlier call may have run; but a call of
+  /// which something started was in progress.
+  bool wasRefused(const Answer &Reply) const {
+    return Reply.m_Problem == "shutting-down" && Reply.m_RetryAfter &&
+           !m_StartedSubmissions.contains(Reply.m_Submission);
+  }
+
   void checkCut(const Invocation &Call, const Answer *Reply) {
-    const bool Cut = !Reply || Reply->m_Status == 0 ||
-                     (Reply->m_Outcome == "unknown" &&
-                      CutProblems.contains(Reply->m_Problem));
+    const bool Cut =
+        !Reply || Reply->m_Status == 0 ||
+        (Reply->m_Outcome == "unknown" &&
+         CutProblems.contains(Reply->m_Problem) && !wasRefused(*Reply));
     if (!Cut)
       return;
     const std::int64_t EndMs = Reply ? Reply->m_TimeMs : m_Run.endMs();
--- a/Tests/System/Support/HistoryCheckerTest.cpp
+++ b/Tests/System/Support/HistoryCheckerTest.cpp
@@ -443,6 +443,27 @@
               ViolationKind::CutByStop);
 }
 
+BOOST_AUTO_TEST_CASE(MayRefuseANewCallUnderACallersId) {
+  const nlohmann::json Refusal = {
+      {"event", "answer"},  {"call", "c1"},
+      {"status", 503},      {"outcome", "unknown"},
+      {"submission", "s1"}, {"problem", "shutting-down"},
+      {"retry_after", true}};
+  checkHolds(
+      Story().request("c1", "s1", "x").end("stop", "v1", 100).add(Refusal));
+  checkBreaks(Story()
+                  .request("c1", "s1", "x")
+                  .end("stop", "v1", 100)
+                  .run("s1", 0, "x")
+                  .add(Refusal),
+              ViolationKind::CutByStop);
+  checkBreaks(Story()
+                  .request("c1", "s1", "x")
+                  .end("stop", "v1", 100)
+                  .fail("c1", "s1", "unknown", "shutting-down"),
+              ViolationKind::CutByStop);
+}
+
 BOOST_AUTO_TEST_CASE(IsNotToBlameForAKill) {
   checkHolds(Story()
                  .request("c1", "s1", "x")
--- a/Tests/System/Support/RecordingCaller.cpp
+++ b/Tests/System/Support/RecordingCaller.cpp
@@ -111,6 +111,7 @@
   if (Reply.ok()) {
     Got.m_Status = Reply->m_Status;
     Got.m_Submission = Reply->header("Auburnhub-Submission");
+    Got.m_RetryAfter = !Reply->header("Retry-After").empty();
     if (Got.m_Status == 200)
       Got.m_ResultDigests = digests(results(*Reply, Sent.m_Kind));
     else
