--- a/Tests/Dispatch/DispatcherPropertyTest.cpp
+++ b/Tests/Dispatch/DispatcherPropertyTest.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <unordered_map>
 
 using namespace auburnhub;
 
@@ -248,7 +249,7 @@
 
   Bench m_Bench;
   std::vector<SubmissionId> m_Ids;
-  std::map<SubmissionId, Incarnation> m_Winners;
+  std::unordered_map<SubmissionId, Incarnation> m_Winners;
   CallNumber m_Calls = 0;
 };
 
--- a/Tests/System/AtMostOnceTest.cpp
+++ b/Tests/System/AtMostOnceTest.cpp
@@ -59,9 +59,11 @@
 std::vector<SubmitResult> submitEverywhere(RecordedRun &Run,
                                            const CallerSubmission &Sent) {
   std::vector<std::future<SubmitResult>> Waiting;
+  Waiting.reserve(Run.cluster().vms().size());
   for (std::size_t Vm = 0; Vm != Run.cluster().vms().size(); ++Vm)
     Waiting.push_back(Run.submitLater(Vm, Sent));
   std::vector<SubmitResult> Replies;
+  Replies.reserve(Waiting.size());
   for (auto &Reply : Waiting)
     Replies.push_back(Reply.get());
   return Replies;
--- a/Tests/System/NoRepeatTest.cpp
+++ b/Tests/System/NoRepeatTest.cpp
@@ -42,9 +42,11 @@
       Sent.push_back(I % 4 < 2 ? onceOnly(Id, Body) : strict(Id, Body));
     }
     std::vector<std::future<SubmitResult>> Waiting;
+    Waiting.reserve(Sent.size());
     for (const CallerSubmission &Each : Sent)
       Waiting.push_back(m_Run.submitLater(Here, Each));
     std::vector<SubmitResult> Replies;
+    Replies.reserve(Waiting.size());
     for (auto &Reply : Waiting)
       Replies.push_back(Reply.get());
     m_Run.setModes(Proofs, "ok");
--- a/Tests/System/NotRunTest.cpp
+++ b/Tests/System/NotRunTest.cpp
@@ -38,7 +38,8 @@
       Sent.m_Service = Service;
       Sent.m_Timeout = Milliseconds(60000);
       m_Waiting.push_back(m_Run.submitLater(Vm, Sent));
-      m_Run.waitForEndpoints(Service, "running", m_Waiting.size());
+      m_Run.waitForEndpoints(Service, "running",
+                             static_cast<std::int64_t>(m_Waiting.size()));
     }
   }
 
--- a/Tests/System/OwnAnswerTest.cpp
+++ b/Tests/System/OwnAnswerTest.cpp
@@ -31,6 +31,7 @@
   /// Lets many callers submit requests of their own at once.
   std::vector<SubmitResult> submitMany(const std::string &Name) {
     std::vector<std::future<SubmitResult>> Waiting;
+    Waiting.reserve(Callers);
     for (int I = 0; I != Callers; ++I) {
       CallerSubmission Sent = onceOnly("", Name + "-" + std::to_string(I));
       Sent.m_Repeatable = I % 2 == 0;
