--- a/Tests/System/ConfigurationTest.cpp
+++ b/Tests/System/ConfigurationTest.cpp
@@ -115,10 +115,11 @@
 
 BOOST_AUTO_TEST_CASE(IsThatOfTheFirstOfTwoOperators) {
   RunningCluster Run;
-  const std::int64_t Base = 0;
+  constexpr std::int64_t Base = 0;
   std::vector<std::thread> Operators;
+  Operators.reserve(2);
   for (int Which = 0; Which < 2; ++Which)
-    Operators.emplace_back([&Run, Which, Base] {
+    Operators.emplace_back([&Run, Which] {
       (void)Run.append(
           Run.record("operator-" + std::to_string(Which), Base, 2 + Which));
     });
--- a/Tests/System/OwnAnswerTest.cpp
+++ b/Tests/System/OwnAnswerTest.cpp
@@ -39,6 +39,7 @@
       Waiting.push_back(m_Run.submitLater(I % 4 == 3 ? 1 : 0, Sent));
     }
     std::vector<SubmitResult> Replies;
+    Replies.reserve(Waiting.size());
     for (auto &Reply : Waiting)
       Replies.push_back(Reply.get());
     return Replies;
