--- /dev/null
+++ b/Source/Jobs/Job.cpp
@@ -0,0 +1,64 @@
+#include "auburnhub/Jobs/Job.h"
+#include "auburnhub/Jobs/WorkerTransport.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace auburnhub {
+
+Resources &Resources::operator+=(const Resources &Other) {
+  m_CpuMillis += Other.m_CpuMillis;
+  m_MemoryMb += Other.m_MemoryMb;
+  m_Gpus += Other.m_Gpus;
+  return *this;
+}
+
+Resources &Resources::operator-=(const Resources &Other) {
+  m_CpuMillis -= Other.m_CpuMillis;
+  m_MemoryMb -= Other.m_MemoryMb;
+  m_Gpus -= Other.m_Gpus;
+  return *this;
+}
+
+std::string_view jobOutcomeName(JobOutcome Outcome) {
+  static constexpr std::array<std::string_view, 4> Names = {
+      "completed", "failed", "not_run", "given_up"};
+  return Names[static_cast<std::size_t>(Outcome)];
+}
+
+std::string_view jobReasonName(JobReason Reason) {
+  static constexpr std::array<std::string_view, 9> Names = {
+      "none",           "no_room",    "timed_out",  "cancelled",
+      "attempts_spent", "never_fits", "owner_lost", "no_owner",
+      "stopping"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
+std::string_view runEndName(RunEnd End) {
+  static constexpr std::array<std::string_view, 4> Names = {
+      "done", "failed", "stopped", "lapsed"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
+std::string_view orderAnswerName(OrderAnswer Answer) {
+  static constexpr std::array<std::string_view, 10> Names = {
+      "accepted", "fenced",  "number_used", "expired",           "no_room",
+      "invalid",  "unhealthy", "other_incarnation", "not_sent", "no_answer"};
+  return Names[static_cast<std::size_t>(Answer)];
+}
+
+bool TaskRef::operator<(const TaskRef &Other) const {
+  return std::tie(m_Job, m_Step, m_Index) <
+         std::tie(Other.m_Job, Other.m_Step, Other.m_Index);
+}
+
+std::string TaskRef::str() const {
+  return m_Job + "/" + std::to_string(m_Step) + "/" + std::to_string(m_Index);
+}
+
+bool WorkerSpec::hasLabel(std::string_view Label) const {
+  return std::find(m_Labels.begin(), m_Labels.end(), Label) != m_Labels.end();
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Jobs/JobScheduler.cpp
@@ -0,0 +1,497 @@
+#include "auburnhub/Jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace auburnhub {
+namespace {
+
+/// Run numbers skipped when a worker has seen a higher one: more than a task
+/// is started within one submission.
+constexpr std::uint32_t NumberStep = 16;
+
+/// Runs of a queue after which its learned run time is believed.
+constexpr std::uint64_t EnoughSamples = 8;
+
+/// Share of its expected time that the rest of a job must still be given
+/// before the caller's deadline; below it the job is hopeless.
+constexpr double HopelessShare = 0.4;
+
+/// Size of a task assumed until one has been seen, in thousandths of a core.
+constexpr std::int64_t AssumedCpuMillis = 1000;
+
+/// Weight of one job in the size of a typical task.
+constexpr double SizeWeight = 0.1;
+
+} // namespace
+
+JobScheduler::JobScheduler(JobParameters Parameters)
+    : m_Parameters(Parameters), m_Workers(Parameters) {
+  m_TypicalTask.m_CpuMillis = AssumedCpuMillis;
+}
+
+void JobScheduler::putWorker(TimePoint Now, const WorkerSpec &Spec) {
+  m_Workers.put(Spec);
+  advance(Now);
+}
+
+void JobScheduler::setReachable(TimePoint Now, const std::string &Worker,
+                                bool Reachable) {
+  WorkerRecord *Record = m_Workers.find(Worker);
+  if (!Record || Record->m_Reachable == Reachable)
+    return;
+  Record->m_Reachable = Reachable;
+  if (Reachable)
+    advance(Now);
+}
+
+void JobScheduler::removeWorker(const std::string &Worker) {
+  m_Workers.erase(Worker);
+}
+
+void JobScheduler::reserve(const std::string &Worker, const Resources &Used) {
+  if (WorkerRecord *Record = m_Workers.find(Worker))
+    Record->m_Free -= Used;
+}
+
+void JobScheduler::release(TimePoint Now, const std::string &Worker,
+                           const Resources &Used) {
+  if (WorkerRecord *Record = m_Workers.find(Worker))
+    Record->m_Free += Used;
+  advance(Now);
+}
+
+double JobScheduler::expectedMs(const QueuePolicy &Policy,
+                                const JobStep &Step) const {
+  auto Found = m_Queues.find(Policy.m_Queue);
+  if (Found == m_Queues.end() || Found->second.m_Samples < EnoughSamples)
+    return std::max(1.0, Step.m_EstimatedMs);
+  const QueueModel &Model = Found->second;
+  if (Step.m_EstimatedMs <= 0 || Model.m_MeanEstimateMs <= 0)
+    return std::max(1.0, Model.m_MeanMs);
+  // The caller's guess is rough: half of what it says, on a logarithmic
+  // scale, is taken to be true of this job, the rest is the queue's.
+  double Relative = Step.m_EstimatedMs / Model.m_MeanEstimateMs;
+  return std::max(1.0, Model.m_MeanMs * std::sqrt(Relative));
+}
+
+void JobScheduler::submit(TimePoint Now, JobRequest Request) {
+  std::string Id = Request.m_Id;
+  auto Owned = std::make_unique<Job>();
+  Job &Item = *Owned;
+  Item.m_Request = std::move(Request);
+  Item.m_Submitted = Now;
+  Item.m_Deadline = addMs(Now, Item.m_Request.m_TimeLeftMs);
+  bool Fits = true;
+  for (std::uint32_t S = 0; S < Item.m_Request.m_Steps.size(); ++S) {
+    const JobStep &Step = Item.m_Request.m_Steps[S];
+    Item.m_ExpectedMs =
+        std::max(Item.m_ExpectedMs, expectedMs(Item.m_Request.m_Policy, Step));
+    Fits = Fits &&
+           m_Workers.couldEverHold(Item.m_Request.m_Policy.m_Service, Step);
+    m_TypicalTask.m_CpuMillis += static_cast<std::int64_t>(
+        SizeWeight * static_cast<double>(Step.m_Each.m_CpuMillis -
+                                         m_TypicalTask.m_CpuMillis));
+    for (std::uint32_t I = 0; I < Step.m_Count; ++I) {
+      Task &Added = Item.m_Tasks.emplace_back();
+      Added.m_Ref = {Id, S, I};
+    }
+  }
+  const QueuePolicy &Policy = Item.m_Request.m_Policy;
+  Item.m_ObjectiveMs =
+      Policy.m_Stretch * Item.m_ExpectedMs + Policy.m_TargetLatencyMs;
+  Item.m_WaitUntil =
+      addMs(Now, std::max(0.0, m_Parameters.m_WaitShare * Item.m_ObjectiveMs -
+                                   m_Parameters.m_PathMs));
+  Item.m_Left = Item.m_Tasks.size();
+  if (m_Jobs.contains(Id))
+    cancel(Now, Id);
+  bool Full = m_Jobs.size() >= m_Parameters.m_MaxJobs;
+  m_Jobs[Id] = std::move(Owned);
+  if (!Fits || Full) {
+    finish(Now, Item, JobOutcome::NotRun,
+           Fits ? JobReason::NoRoom : JobReason::NeverFits);
+    return;
+  }
+  unblock(Item);
+  advance(Now);
+}
+
+void JobScheduler::unblock(Job &Item) {
+  std::vector<std::size_t> LeftOfStep(Item.m_Request.m_Steps.size());
+  for (const Task &T : Item.m_Tasks)
+    if (T.m_State != TaskState::Done)
+      ++LeftOfStep[T.m_Ref.m_Step];
+  for (Task &T : Item.m_Tasks) {
+    if (T.m_State != TaskState::Blocked)
+      continue;
+    const auto &After = Item.m_Request.m_Steps[T.m_Ref.m_Step].m_After;
+    if (std::all_of(After.begin(), After.end(),
+                    [&](std::uint32_t S) { return LeftOfStep[S] == 0; })) {
+      T.m_State = TaskState::Waiting;
+      ++Item.m_Waiting;
+    }
+  }
+}
+
+bool JobScheduler::cancel(TimePoint Now, const std::string &Id) {
+  auto Found = m_Jobs.find(Id);
+  if (Found == m_Jobs.end())
+    return false;
+  Job &Item = *Found->second;
+  finish(Now, Item,
+         Item.m_PossibleStarts > 0 ? JobOutcome::GivenUp : JobOutcome::NotRun,
+         JobReason::Cancelled);
+  return true;
+}
+
+void JobScheduler::finish(TimePoint Now, Job &Item, JobOutcome Outcome,
+                          JobReason Reason) {
+  JobOver Over;
+  Over.m_Job = Item.m_Request.m_Id;
+  Over.m_Result = {Outcome, Reason, 0};
+  if (Outcome == JobOutcome::NotRun)
+    Over.m_Result.m_RetryAfterMs = m_Parameters.m_RetryAfterMs;
+  Over.m_TookMs = millisecondsBetween(Item.m_Submitted, Now);
+  if (Item.m_FirstStart)
+    Over.m_WaitedMs = millisecondsBetween(Item.m_Submitted, *Item.m_FirstStart);
+  Over.m_ObjectiveMs = Item.m_ObjectiveMs;
+  Over.m_Runs = Item.m_Runs;
+  m_Effects.emplace_back(std::move(Over));
+  for (Task &T : Item.m_Tasks) {
+    auto Found = m_Runs.find(T.m_Run);
+    if (T.m_Run == 0 || Found == m_Runs.end())
+      continue;
+    Found->second.m_Detached = true;
+    stopRun(Found->second, T.m_Run, Reason);
+  }
+  m_Jobs.erase(Item.m_Request.m_Id);
+}
+
+void JobScheduler::stopRun(Run &Item, RunId Id, JobReason Why) {
+  if (Item.m_Stopping)
+    return;
+  Item.m_Stopping = true;
+  m_Effects.emplace_back(StopRun{Id, Why});
+}
+
+void JobScheduler::freeRun(RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  if (WorkerRecord *Worker = m_Workers.find(Found->second.m_Worker)) {
+    Worker->m_Free += Found->second.m_Used;
+    --Worker->m_Running;
+  }
+  m_Runs.erase(Found);
+}
+
+void JobScheduler::requeue(TimePoint Now, Job &Item, Task &Which) {
+  Which.m_State = TaskState::Waiting;
+  Which.m_Run = 0;
+  ++Item.m_Waiting;
+  double LeftMs = millisecondsBetween(Now, Item.m_Deadline);
+  if (LeftMs < HopelessShare * Item.m_ExpectedMs)
+    finish(Now, Item, JobOutcome::GivenUp, JobReason::TimedOut);
+}
+
+void JobScheduler::runAccepted(TimePoint Now, RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Found->second.m_Accepted = true;
+  Found->second.m_Started = Now;
+}
+
+void JobScheduler::runRefused(TimePoint Now, RunId Id, RefusalReason Why) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Run Item = Found->second;
+  freeRun(Id);
+  WorkerRecord *Worker = m_Workers.find(Item.m_Worker);
+  if (Worker && Why != RefusalReason::NumberUsed)
+    Worker->m_PausedUntil = addMs(Now, m_Parameters.m_RefusalPauseMs);
+  if (Worker && Why == RefusalReason::Unhealthy)
+    m_Workers.noteFailure(Now, *Worker);
+  auto Owner = m_Jobs.find(Item.m_Job);
+  if (!Item.m_Detached && Owner != m_Jobs.end()) {
+    Job &Of = *Owner->second;
+    Task &Which = Of.m_Tasks[Item.m_Task];
+    --Of.m_PossibleStarts;
+    if (Why == RefusalReason::NumberUsed)
+      Which.m_LastNumber += NumberStep;
+    if (Why == RefusalReason::Invalid)
+      taskFailed(Now, Of, Which, Item.m_Worker);
+    else
+      requeue(Now, Of, Which);
+  }
+  advance(Now);
+}
+
+void JobScheduler::learn(const Run &Item, TimePoint Now) {
+  double Took = millisecondsBetween(Item.m_Started, Now);
+  WorkerRecord *Worker = m_Workers.find(Item.m_Worker);
+  double Speed = Worker ? Worker->m_Speed : 1;
+  QueueModel &Model = m_Queues[Item.m_Queue];
+  ++Model.m_Samples;
+  double Weight = std::max(m_Parameters.m_RunTimeWeight,
+                           1 / static_cast<double>(Model.m_Samples));
+  Model.m_MeanMs += Weight * (Took * Speed - Model.m_MeanMs);
+  if (Worker) {
+    m_Workers.noteRunTime(*Worker, Took, Item.m_BaseMs);
+    m_Workers.noteSuccess(*Worker);
+  }
+}
+
+void JobScheduler::runEnded(TimePoint Now, RunId Id, RunEnd How) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Run Item = Found->second;
+  if (How == RunEnd::Done)
+    learn(Item, Now);
+  freeRun(Id);
+  auto Owner = m_Jobs.find(Item.m_Job);
+  if (!Item.m_Detached && Owner != m_Jobs.end()) {
+    Job &Of = *Owner->second;
+    Task &Which = Of.m_Tasks[Item.m_Task];
+    if (How == RunEnd::Done)
+      taskDone(Now, Of, Which);
+    else if (How == RunEnd::Failed)
+      taskFailed(Now, Of, Which, Item.m_Worker);
+    else
+      requeue(Now, Of, Which);
+  }
+  advance(Now);
+}
+
+void JobScheduler::runAbandoned(TimePoint Now, RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  auto Owner = m_Jobs.find(Found->second.m_Job);
+  if (!Found->second.m_Detached && Owner != m_Jobs.end())
+    finish(Now, *Owner->second, JobOutcome::GivenUp, JobReason::OwnerLost);
+  freeRun(Id);
+}
+
+void JobScheduler::taskDone(TimePoint Now, Job &Item, Task &Which) {
+  Which.m_State = TaskState::Done;
+  Which.m_Run = 0;
+  --Item.m_Left;
+  if (Item.m_Left == 0)
+    finish(Now, Item, JobOutcome::Completed, JobReason::None);
+  else
+    unblock(Item);
+}
+
+void JobScheduler::taskFailed(TimePoint Now, Job &Item, Task &Which,
+                              const std::string &Worker) {
+  // A task that has failed elsewhere says little about this worker.
+  WorkerRecord *Record = m_Workers.find(Worker);
+  if (Record && Which.m_Failures == 0)
+    m_Workers.noteFailure(Now, *Record);
+  ++Which.m_Failures;
+  Which.m_Avoid.insert(Worker);
+  if (Which.m_Failures >= Item.m_Request.m_Policy.m_MaxAttempts) {
+    finish(Now, Item, JobOutcome::Failed, JobReason::AttemptsSpent);
+    return;
+  }
+  requeue(Now, Item, Which);
+}
+
+void JobScheduler::runProgress(TimePoint Now, RunId Id, double Percent) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Found->second.m_Percent = Percent;
+  Found->second.m_ProgressAt = Now;
+}
+
+void JobScheduler::checkStalled(TimePoint Now) {
+  std::vector<RunId> Stalled;
+  for (auto &[Id, Item] : m_Runs) {
+    if (!Item.m_Accepted || Item.m_Stopping || Item.m_Stalled)
+      continue;
+    double Limit = std::max(m_Parameters.m_MinStalledMs,
+                            m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
+    // The progress must have been read after the limit.
+    if (millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
+        Item.m_Percent < m_Parameters.m_StalledPercent)
+      Stalled.push_back(Id);
+  }
+  for (RunId Id : Stalled) {
+    Run &Item = m_Runs.at(Id);
+    Item.m_Stalled = true;
+    if (WorkerRecord *Worker = m_Workers.find(Item.m_Worker))
+      m_Workers.noteFailure(Now, *Worker);
+    auto Owner = m_Jobs.find(Item.m_Job);
+    if (Owner != m_Jobs.end())
+      Owner->second->m_Tasks[Item.m_Task].m_Avoid.insert(Item.m_Worker);
+    stopRun(Item, Id, JobReason::None);
+  }
+}
+
+void JobScheduler::checkDeadlines(TimePoint Now) {
+  std::vector<std::pair<Job *, JobReason>> Over;
+  for (auto &[Id, Item] : m_Jobs) {
+    if (Now >= Item->m_Deadline)
+      Over.emplace_back(Item.get(), JobReason::TimedOut);
+    else if (!Item->m_FirstStart && Now >= Item->m_WaitUntil)
+      Over.emplace_back(Item.get(), JobReason::NoRoom);
+  }
+  for (auto [Item, Reason] : Over)
+    finish(Now, *Item,
+           Item->m_PossibleStarts > 0 ? JobOutcome::GivenUp : JobOutcome::NotRun,
+           Reason);
+}
+
+void JobScheduler::advance(TimePoint Now) {
+  checkStalled(Now);
+  startWaiting(Now);
+  checkDeadlines(Now);
+}
+
+JobScheduler::Rank JobScheduler::rank(TimePoint Now, const Job &Item,
+                                      double BestSpeed) const {
+  double Elapsed = millisecondsBetween(Item.m_Submitted, Now);
+  double Needs = Item.m_ExpectedMs / BestSpeed;
+  Rank Result;
+  Result.m_SlackMs = Item.m_ObjectiveMs - Elapsed - Needs;
+  if (Result.m_SlackMs >= 0)
+    return Result;
+  double LateSlack =
+      std::min(m_Parameters.m_LateFactor * Item.m_ObjectiveMs - Elapsed,
+               millisecondsBetween(Now, Item.m_Deadline)) -
+      Needs;
+  Result.m_Tier = LateSlack >= 0 ? 1 : 2;
+  return Result;
+}
+
+void JobScheduler::startWaiting(TimePoint Now) {
+  std::vector<std::pair<Rank, Job *>> Order;
+  std::map<std::string_view, double> Speeds;
+  for (auto &[Id, Item] : m_Jobs) {
+    if (Item->m_Waiting == 0)
+      continue;
+    std::string_view Service = Item->m_Request.m_Policy.m_Service;
+    auto [Speed, Added] = Speeds.try_emplace(Service, 0);
+    if (Added)
+      Speed->second = m_Workers.bestSpeed(Now, Service);
+    Order.emplace_back(rank(Now, *Item, Speed->second), Item.get());
+  }
+  std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
+    return std::tie(A.first.m_Tier, A.first.m_SlackMs, A.second->m_Request.m_Id) <
+           std::tie(B.first.m_Tier, B.first.m_SlackMs, B.second->m_Request.m_Id);
+  });
+  for (auto &[Place, Item] : Order)
+    startTasks(Now, *Item);
+}
+
+bool JobScheduler::startTasks(TimePoint Now, Job &Item) {
+  for (std::size_t I = 0; I < Item.m_Tasks.size(); ++I)
+    if (Item.m_Tasks[I].m_State == TaskState::Waiting &&
+        !startTask(Now, Item, I))
+      return false;
+  return true;
+}
+
+bool JobScheduler::startTask(TimePoint Now, Job &Item, std::size_t Index) {
+  Task &Which = Item.m_Tasks[Index];
+  const JobStep &Step = Item.m_Request.m_Steps[Which.m_Ref.m_Step];
+  TaskNeeds Needs;
+  Needs.m_Service = Item.m_Request.m_Policy.m_Service;
+  Needs.m_Step = &Step;
+  Needs.m_ExpectedMs = expectedMs(Item.m_Request.m_Policy, Step);
+  Needs.m_Avoid = &Which.m_Avoid;
+  Needs.m_OnWorker = [&](const std::string &Worker) {
+    return static_cast<std::uint32_t>(std::count_if(
+        Item.m_Tasks.begin(), Item.m_Tasks.end(), [&](const Task &T) {
+          auto Found = m_Runs.find(T.m_Run);
+          return T.m_Run != 0 && T.m_Ref.m_Step == Which.m_Ref.m_Step &&
+                 Found != m_Runs.end() && Found->second.m_Worker == Worker;
+        }));
+  };
+  std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Needs);
+  if (!Choice && !Which.m_Avoid.empty()) {
+    // Every other worker is taken: where it failed is better than nowhere.
+    Needs.m_Avoid = nullptr;
+    Choice = m_Workers.choose(Now, Needs);
+  }
+  if (!Choice)
+    return false;
+  WorkerRecord &Worker = *Choice->m_Worker;
+  Worker.m_Free -= Step.m_Each;
+  ++Worker.m_Running;
+  Which.m_State = TaskState::Ordered;
+  Which.m_Run = ++m_LastRun;
+  --Item.m_Waiting;
+  ++Item.m_Runs;
+  ++Item.m_PossibleStarts;
+  if (!Item.m_FirstStart)
+    Item.m_FirstStart = Now;
+  Run &Added = m_Runs[Which.m_Run];
+  Added.m_Job = Item.m_Request.m_Id;
+  Added.m_Task = Index;
+  Added.m_Worker = Worker.m_Spec.m_Id;
+  Added.m_Used = Step.m_Each;
+  Added.m_BaseMs = Needs.m_ExpectedMs;
+  Added.m_ExpectedMs = Choice->m_ExpectedMs;
+  Added.m_Queue = Item.m_Request.m_Policy.m_Queue;
+  Added.m_Started = Now;
+  QueueModel &Model = m_Queues[Added.m_Queue];
+  Model.m_MeanEstimateMs +=
+      std::max(m_Parameters.m_RunTimeWeight,
+               1 / (1 + static_cast<double>(Model.m_Samples))) *
+      (Step.m_EstimatedMs - Model.m_MeanEstimateMs);
+  StartRun Order;
+  Order.m_Run = Which.m_Run;
+  Order.m_Worker = Added.m_Worker;
+  Order.m_Task = Which.m_Ref;
+  Order.m_Number = ++Which.m_LastNumber;
+  Order.m_Spec = Item.m_Request.m_Spec;
+  Order.m_Queue = Added.m_Queue;
+  Order.m_ExpectedMs = Added.m_ExpectedMs;
+  Order.m_Candidates = Choice->m_Candidates;
+  Order.m_WaitedMs = millisecondsBetween(Item.m_Submitted, Now);
+  m_Effects.emplace_back(std::move(Order));
+  return true;
+}
+
+std::optional<TimePoint> JobScheduler::nextDeadline(TimePoint Now) const {
+  std::optional<TimePoint> Next;
+  auto Consider = [&](TimePoint At) {
+    if (At > Now && (!Next || At < *Next))
+      Next = At;
+  };
+  for (const auto &[Id, Item] : m_Jobs) {
+    Consider(Item->m_Deadline);
+    if (!Item->m_FirstStart)
+      Consider(Item->m_WaitUntil);
+  }
+  if (waitingTasks() > 0)
+    for (const auto &[Id, Worker] : m_Workers.all()) {
+      Consider(Worker.m_EjectedUntil);
+      Consider(Worker.m_PausedUntil);
+    }
+  return Next;
+}
+
+std::vector<JobEffect> JobScheduler::takeEffects() {
+  return std::exchange(m_Effects, {});
+}
+
+std::size_t JobScheduler::freeSlots(TimePoint Now) const {
+  return m_Workers.freeSlots(Now, m_TypicalTask);
+}
+
+std::size_t JobScheduler::waitingTasks() const {
+  std::size_t Total = 0;
+  for (const auto &[Id, Item] : m_Jobs)
+    Total += Item->m_Waiting;
+  return Total;
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Node/JobRouter.cpp
@@ -0,0 +1,234 @@
+#include "auburnhub/Node/JobRouter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace auburnhub {
+namespace {
+
+/// Share of a job's expected latency objective that it may wait for an owner;
+/// a caller that is refused later would have been better served elsewhere.
+constexpr double WaitShare = 0.2;
+
+/// Least time that a job may wait for an owner, in milliseconds.
+constexpr double MinWaitMs = 5;
+
+/// Time kept back for the way to the caller, in milliseconds.
+constexpr double AnswerPathMs = 10;
+
+/// How long an owner's answer may be late before the call is given up here.
+constexpr double OwnerGraceMs = 5;
+
+/// When a refused caller may ask again, in milliseconds.
+constexpr double RetryAfterMs = 1000;
+
+} // namespace
+
+JobRouter::JobRouter(EventLoop &Loop, std::string DataCentre,
+                     MetricsRegistry &Metrics, RouterEffects Effects)
+    : m_Loop(Loop), m_DataCentre(std::move(DataCentre)),
+      m_Effects(std::move(Effects)), m_Metrics(Metrics),
+      m_Latency(Metrics.latency("auburnhub_job_seconds",
+                                "From receipt of a job to its answer")) {}
+
+void JobRouter::ownerUp(const std::string &Name,
+                        const std::string &DataCentre) {
+  auto [It, Added] = m_Owners.try_emplace(Name);
+  It->second.m_DataCentre = DataCentre;
+  if (Added)
+    routeWaiting();
+}
+
+void JobRouter::ownerLoad(const std::string &Name, std::uint64_t FreeSlots,
+                          std::uint64_t WaitingTasks) {
+  auto Found = m_Owners.find(Name);
+  if (Found == m_Owners.end())
+    return;
+  Found->second.m_FreeSlots = static_cast<double>(FreeSlots);
+  Found->second.m_WaitingTasks = static_cast<double>(WaitingTasks);
+  Found->second.m_SentSince = 0;
+}
+
+void JobRouter::ownerClosed(const std::string &Name) { m_Owners.erase(Name); }
+
+void JobRouter::ownerLost(const std::string &Name) {
+  m_Owners.erase(Name);
+  std::vector<std::uint64_t> Lost;
+  for (const auto &[Id, Item] : m_Calls)
+    if (Item.m_Owner == Name)
+      Lost.push_back(Id);
+  for (std::uint64_t Id : Lost)
+    finish(Id, {JobOutcome::GivenUp, JobReason::OwnerLost, 0});
+}
+
+std::uint64_t JobRouter::submit(JobRequest Job, Done Answer) {
+  std::uint64_t Id = ++m_LastCall;
+  Call &Item = m_Calls[Id];
+  Item.m_Received = EventLoop::now();
+  Item.m_Done = std::move(Answer);
+  double LongestMs = 0;
+  for (const JobStep &Step : Job.m_Steps) {
+    LongestMs = std::max(LongestMs, Step.m_EstimatedMs);
+    Item.m_Tasks += Step.m_Count;
+  }
+  double Objective =
+      Job.m_Policy.m_Stretch * LongestMs + Job.m_Policy.m_TargetLatencyMs;
+  Item.m_WaitUntil =
+      addMs(Item.m_Received, std::max(MinWaitMs, WaitShare * Objective));
+  Item.m_Job = std::move(Job);
+  m_ById[Item.m_Job.m_Id] = Id;
+  if (!m_Effects.m_CouldEverRun(Item.m_Job)) {
+    finish(Id, {JobOutcome::Failed, JobReason::NeverFits, 0});
+    return Id;
+  }
+  route(Id);
+  return Id;
+}
+
+std::optional<std::string> JobRouter::choose(const Call &Item) const {
+  std::optional<std::string> Best;
+  double BestRoom = 0;
+  bool BestNear = false;
+  for (const auto &[Name, Candidate] : m_Owners) {
+    if (Item.m_Tried.contains(Name))
+      continue;
+    double Room = Candidate.m_FreeSlots - Candidate.m_WaitingTasks -
+                  Candidate.m_SentSince;
+    bool Near = Candidate.m_DataCentre == m_DataCentre;
+    bool Enough = Room >= Item.m_Tasks;
+    bool BestEnough = Best && BestRoom >= Item.m_Tasks;
+    bool Better = !Best || (Enough && !BestEnough) ||
+                  (Enough == BestEnough &&
+                   (Enough && Near != BestNear ? Near : Room > BestRoom));
+    if (!Better)
+      continue;
+    Best = Name;
+    BestRoom = Room;
+    BestNear = Near;
+  }
+  return Best;
+}
+
+void JobRouter::route(std::uint64_t Id) {
+  Call &Item = m_Calls.at(Id);
+  std::optional<std::string> Chosen = choose(Item);
+  TimePoint Now = EventLoop::now();
+  if (!Chosen) {
+    bool Wait = Item.m_Tried.empty() && Now < Item.m_WaitUntil;
+    if (!Wait) {
+      finish(Id, {JobOutcome::NotRun,
+                  Item.m_Tried.empty() ? JobReason::NoOwner : JobReason::NoRoom,
+                  RetryAfterMs});
+      return;
+    }
+    auto Delay = std::chrono::ceil<EventLoop::Duration>(Item.m_WaitUntil - Now);
+    Item.m_Timer = m_Loop.once(Delay, [this, Id] {
+      if (m_Calls.contains(Id) && m_Calls.at(Id).m_Owner.empty())
+        route(Id);
+    });
+    return;
+  }
+  Owner &To = m_Owners.at(*Chosen);
+  To.m_SentSince += Item.m_Tasks;
+  Item.m_Owner = *Chosen;
+  Item.m_Tried.insert(*Chosen);
+  armDeadline(Id, Item);
+  JobRequest Job = Item.m_Job;
+  Job.m_TimeLeftMs -=
+      millisecondsBetween(Item.m_Received, Now) + AnswerPathMs;
+  m_Log.info("job_routed", {{"job", Job.m_Id},
+                            {"queue", Job.m_Policy.m_Queue},
+                            {"owner", *Chosen},
+                            {"tasks", Item.m_Tasks},
+                            {"free_slots", To.m_FreeSlots},
+                            {"waiting_tasks", To.m_WaitingTasks},
+                            {"sent_since", To.m_SentSince},
+                            {"owners", m_Owners.size()},
+                            {"time_left_ms", std::round(Job.m_TimeLeftMs)}});
+  // The effect may answer at once, after which Item is gone.
+  m_Effects.m_Submit(*Chosen, Id, Job);
+}
+
+void JobRouter::armDeadline(std::uint64_t Id, Call &Item) {
+  TimePoint Deadline = addMs(Item.m_Received, Item.m_Job.m_TimeLeftMs -
+                                                  AnswerPathMs + OwnerGraceMs);
+  auto Delay = std::max(
+      EventLoop::Duration(0),
+      std::chrono::ceil<EventLoop::Duration>(Deadline - EventLoop::now()));
+  Item.m_Timer = m_Loop.once(Delay, [this, Id] {
+    auto Found = m_Calls.find(Id);
+    if (Found == m_Calls.end())
+      return;
+    m_Effects.m_Cancel(Found->second.m_Owner, Found->second.m_Job.m_Id);
+    finish(Id, {JobOutcome::GivenUp, JobReason::TimedOut, 0});
+  });
+}
+
+void JobRouter::routeWaiting() {
+  std::vector<std::uint64_t> Waiting;
+  for (const auto &[Id, Item] : m_Calls)
+    if (Item.m_Owner.empty())
+      Waiting.push_back(Id);
+  for (std::uint64_t Id : Waiting)
+    if (m_Calls.contains(Id))
+      route(Id);
+}
+
+void JobRouter::answered(const JobAnswer &Answer) {
+  auto Found = m_Calls.find(Answer.m_Call);
+  if (Found == m_Calls.end())
+    return;
+  Call &Item = Found->second;
+  ownerLoad(Item.m_Owner, Answer.m_FreeSlots, Answer.m_WaitingTasks);
+  if (Answer.m_Outcome == JobOutcome::NotRun &&
+      Answer.m_Reason != JobReason::Cancelled &&
+      EventLoop::now() < Item.m_WaitUntil) {
+    if (Answer.m_Reason == JobReason::Stopping ||
+        Answer.m_Reason == JobReason::NoOwner)
+      ownerClosed(Item.m_Owner);
+    Item.m_Owner.clear();
+    route(Answer.m_Call);
+    return;
+  }
+  finish(Answer.m_Call,
+         {Answer.m_Outcome, Answer.m_Reason, Answer.m_RetryAfterMs});
+}
+
+void JobRouter::callerGone(std::uint64_t Id) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  Found->second.m_Done = nullptr;
+  if (!Found->second.m_Owner.empty())
+    m_Effects.m_Cancel(Found->second.m_Owner, Found->second.m_Job.m_Id);
+  finish(Id, {JobOutcome::GivenUp, JobReason::Cancelled, 0});
+}
+
+void JobRouter::finish(std::uint64_t Id, const JobResult &Result) {
+  Call Item = std::move(m_Calls.at(Id));
+  m_Calls.erase(Id);
+  auto Known = m_ById.find(Item.m_Job.m_Id);
+  if (Known != m_ById.end() && Known->second == Id)
+    m_ById.erase(Known);
+  double TookMs = millisecondsBetween(Item.m_Received, EventLoop::now());
+  m_Latency.add(TookMs / 1000);
+  m_Metrics
+      .counter("auburnhub_jobs_total", "Jobs by outcome",
+               {{"outcome", std::string(jobOutcomeName(Result.m_Outcome))},
+                {"reason", std::string(jobReasonName(Result.m_Reason))}})
+      .add();
+  m_Log.info("job_answered",
+             {{"job", Item.m_Job.m_Id},
+              {"queue", Item.m_Job.m_Policy.m_Queue},
+              {"outcome", jobOutcomeName(Result.m_Outcome)},
+              {"reason", jobReasonName(Result.m_Reason)},
+              {"owner", Item.m_Owner},
+              {"owners_tried", Item.m_Tried.size()},
+              {"took_ms", std::round(TookMs)}});
+  if (Item.m_Done)
+    Item.m_Done(Result);
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Node/ShardMap.cpp
@@ -0,0 +1,198 @@
+#include "auburnhub/Node/ShardMap.h"
+
+#include "auburnhub/Policy/Ownership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace auburnhub {
+namespace {
+
+/// Workers that one owner handles; a data centre with more has more shards.
+/// At 27 starts a second for each worker this is what a quarter of a core can
+/// order.
+constexpr std::size_t WorkersOfShard = 32;
+
+/// A node must have been up so long before a shard moves home to it.
+constexpr double StableMs = 1500;
+
+} // namespace
+
+ShardMap::ShardMap(std::string Self, std::string DataCentre, double Weight)
+    : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
+      m_Weight(Weight) {}
+
+void ShardMap::nodeUp(TimePoint Now, const NodeHello &Hello) {
+  Node &Added = m_Nodes[Hello.m_Node];
+  Added = Node();
+  Added.m_Name = Hello.m_Node;
+  Added.m_DataCentre = Hello.m_DataCentre;
+  Added.m_Weight = Hello.m_Weight;
+  Added.m_UpSince = Now;
+}
+
+void ShardMap::nodeStatus(const std::string &Name, const NodeStatus &Status) {
+  auto Found = m_Nodes.find(Name);
+  if (Found == m_Nodes.end())
+    return;
+  Found->second.m_Draining = Status.m_Draining;
+  Found->second.m_Claims = Status.m_Claims;
+  for (const ShardClaim &Claim : Status.m_Claims)
+    m_HighestToken = std::max(m_HighestToken, Claim.m_Token);
+}
+
+void ShardMap::nodeDown(const std::string &Name) { m_Nodes.erase(Name); }
+
+void ShardMap::setWorkers(
+    std::span<const std::pair<std::string, std::string>> Workers) {
+  std::map<std::string, std::size_t> Count;
+  for (const auto &[Worker, DataCentre] : Workers)
+    ++Count[DataCentre];
+  for (const auto &[DataCentre, Number] : Count) {
+    // Powers of two, so that a few workers more or less move no shard.
+    std::size_t Shards =
+        std::bit_ceil((Number + WorkersOfShard - 1) / WorkersOfShard);
+    m_ShardsOf[DataCentre] = static_cast<std::uint32_t>(Shards);
+  }
+}
+
+ShardId ShardMap::shardOf(std::string_view Worker,
+                          const std::string &DataCentre) const {
+  auto Found = m_ShardsOf.find(DataCentre);
+  std::uint32_t Shards = Found == m_ShardsOf.end() ? 1 : Found->second;
+  if (Shards <= 1)
+    return {DataCentre, 0};
+  std::vector<std::string> Names;
+  Names.reserve(Shards);
+  for (std::uint32_t I = 0; I < Shards; ++I)
+    Names.push_back(std::to_string(I));
+  std::vector<OwnerCandidate> Candidates;
+  Candidates.reserve(Shards);
+  for (const std::string &Name : Names)
+    Candidates.push_back({Name, 1});
+  auto Chosen = owner(Worker, Candidates);
+  return {DataCentre, static_cast<std::uint32_t>(Chosen.value_or(0))};
+}
+
+void ShardMap::claimed(const ShardId &Shard, std::uint64_t Token) {
+  lost(Shard);
+  ShardClaim &Added = m_Own.emplace_back();
+  Added.m_Shard = Shard;
+  Added.m_Token = Token;
+  m_HighestToken = std::max(m_HighestToken, Token);
+}
+
+void ShardMap::lost(const ShardId &Shard) {
+  std::erase_if(m_Own, [&](const ShardClaim &Claim) {
+    return Claim.m_Shard == Shard;
+  });
+}
+
+ShardClaim *ShardMap::ownClaim(const ShardId &Shard) {
+  auto Found = std::find_if(m_Own.begin(), m_Own.end(), [&](const auto &Claim) {
+    return Claim.m_Shard == Shard;
+  });
+  return Found == m_Own.end() ? nullptr : &*Found;
+}
+
+bool ShardMap::hasOwner(const ShardId &Shard) const {
+  auto Holds = [&](const ShardClaim &Claim) {
+    return Claim.m_Shard == Shard && !Claim.m_Releasing;
+  };
+  if (std::any_of(m_Own.begin(), m_Own.end(), Holds))
+    return true;
+  return std::any_of(m_Nodes.begin(), m_Nodes.end(), [&](const auto &Entry) {
+    const auto &Claims = Entry.second.m_Claims;
+    return std::any_of(Claims.begin(), Claims.end(), Holds);
+  });
+}
+
+std::optional<std::string> ShardMap::preferred(const ShardId &Shard,
+                                               TimePoint) const {
+  std::vector<Candidate> Home;
+  std::vector<Candidate> Any;
+  auto Consider = [&](std::string_view Name, const std::string &DataCentre,
+                      double Weight) {
+    Any.push_back({Name, Weight});
+    if (DataCentre == Shard.m_DataCentre)
+      Home.push_back({Name, Weight});
+  };
+  if (!m_Draining)
+    Consider(m_Self, m_DataCentre, m_Weight);
+  for (const auto &[Name, Other] : m_Nodes)
+    if (!Other.m_Draining)
+      Consider(Name, Other.m_DataCentre, Other.m_Weight);
+  std::vector<Candidate> &From = Home.empty() ? Any : Home;
+  if (From.empty())
+    return std::nullopt;
+  std::sort(From.begin(), From.end(), [](const auto &A, const auto &B) {
+    return A.m_Weight != B.m_Weight ? A.m_Weight > B.m_Weight
+                                    : A.m_Name < B.m_Name;
+  });
+  return std::string(From[Shard.m_Index % From.size()].m_Name);
+}
+
+std::vector<ShardId> ShardMap::toClaim(TimePoint Now) const {
+  std::vector<ShardId> Result;
+  for (const auto &[DataCentre, Shards] : m_ShardsOf)
+    for (std::uint32_t I = 0; I < Shards; ++I) {
+      ShardId Shard{DataCentre, I};
+      if (!hasOwner(Shard) && preferred(Shard, Now) == m_Self)
+        Result.push_back(Shard);
+    }
+  return Result;
+}
+
+std::vector<ShardId> ShardMap::toRelease(TimePoint Now) const {
+  std::vector<ShardId> Result;
+  for (const ShardClaim &Claim : m_Own) {
+    if (Claim.m_Releasing)
+      continue;
+    if (m_Draining) {
+      Result.push_back(Claim.m_Shard);
+      continue;
+    }
+    if (m_DataCentre == Claim.m_Shard.m_DataCentre)
+      continue;
+    auto Home = preferred(Claim.m_Shard, Now);
+    auto Found = Home ? m_Nodes.find(*Home) : m_Nodes.end();
+    if (Found != m_Nodes.end() &&
+        Found->second.m_DataCentre == Claim.m_Shard.m_DataCentre &&
+        millisecondsBetween(Found->second.m_UpSince, Now) > StableMs)
+      Result.push_back(Claim.m_Shard);
+  }
+  return Result;
+}
+
+std::vector<ShardId> ShardMap::outbid() const {
+  std::vector<ShardId> Result;
+  for (const ShardClaim &Own : m_Own)
+    for (const auto &[Name, Other] : m_Nodes)
+      for (const ShardClaim &Claim : Other.m_Claims)
+        if (Claim.m_Shard == Own.m_Shard && !Claim.m_Releasing &&
+            !Own.m_Releasing &&
+            (Claim.m_Token > Own.m_Token ||
+             (Claim.m_Token == Own.m_Token && Name < m_Self)))
+          Result.push_back(Own.m_Shard);
+  return Result;
+}
+
+std::set<std::string> ShardMap::busyElsewhere(const ShardId &Shard) const {
+  std::set<std::string> Result;
+  for (const auto &[Name, Other] : m_Nodes)
+    for (const ShardClaim &Claim : Other.m_Claims)
+      if (Claim.m_Shard == Shard && Claim.m_Releasing)
+        Result.insert(Claim.m_Busy.begin(), Claim.m_Busy.end());
+  return Result;
+}
+
+std::vector<std::string> ShardMap::owners() const {
+  std::vector<std::string> Result;
+  for (const auto &[Name, Other] : m_Nodes)
+    if (std::any_of(Other.m_Claims.begin(), Other.m_Claims.end(),
+                    [](const auto &Claim) { return !Claim.m_Releasing; }))
+      Result.push_back(Name);
+  return Result;
+}
+
+} // namespace auburnhub
--- a/Source/Wire/Transport.cpp
+++ b/Source/Wire/Transport.cpp
@@ -10,6 +10,8 @@
 #include <atomic>
 #include <chrono>
 #include <map>
+#include <memory>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -44,13 +46,18 @@
 
 class Transport::Impl {
 public:
-  Impl(std::size_t MaxMessageBytes, TransportEvents Events)
+  Impl(std::size_t MaxMessageBytes, TransportEvents Events,
+       boost::asio::io_context *Loop)
       : m_MaxMessageBytes(MaxMessageBytes), m_Events(std::move(Events)),
-        m_Work(boost::asio::make_work_guard(m_Io)) {
+        m_OwnIo(Loop ? nullptr : std::make_unique<boost::asio::io_context>()),
+        m_Io(Loop ? *Loop : *m_OwnIo) {
     setUp(m_Server, true);
     setUp(m_Client, false);
     m_Server.set_reuse_addr(true);
     m_Server.set_open_handler([this](const Handle &H) { opened(H); });
+    if (Loop)
+      return;
+    m_Work.emplace(boost::asio::make_work_guard(m_Io));
     m_Thread = std::thread([this] { m_Io.run(); });
   }
 
@@ -81,7 +88,7 @@
   }
 
   void send(ConnectionId Id, std::string Bytes) {
-    boost::asio::post(
+    boost::asio::dispatch(
         m_Io, [this, Id, Bytes = std::move(Bytes)] { sendNow(Id, Bytes); });
   }
 
@@ -89,9 +96,35 @@
     boost::asio::post(m_Io, [this, Id] { closeNow(Id); });
   }
 
+  void abandon(ConnectionId Id) {
+    auto Found = m_Connections.find(Id);
+    if (Found == m_Connections.end())
+      return;
+    Connection Item = Found->second;
+    m_Connections.erase(Found);
+    visit(Item, [](auto &Con) {
+      boost::system::error_code Ec;
+      Con.get_raw_socket().close(Ec);
+    });
+  }
+
+  std::size_t queuedBytes(ConnectionId Id) {
+    auto Found = m_Connections.find(Id);
+    std::size_t Total = 0;
+    if (Found != m_Connections.end())
+      visit(Found->second,
+            [&](auto &Con) { Total = Con.get_buffered_amount(); });
+    return Total;
+  }
+
   void stop() {
-    if (!m_Thread.joinable())
+    if (!m_Thread.joinable()) {
+      // On somebody else's loop nothing may call back any more.
+      if (!m_Stopped.exchange(true))
+        closeSockets();
+      m_Connections.clear();
       return;
+    }
     m_Stopped = true;
     boost::asio::post(m_Io, [this] { stopWhenFlushed(FlushChecks); });
     m_Thread.join();
@@ -138,17 +171,20 @@
 
   /// Calls Visit with each connection that the library still has.
   template <typename Visitor> void forEachConnection(Visitor Visit) {
-    for (const auto &[Id, Item] : m_Connections) {
-      websocketpp::lib::error_code Ec;
-      if (Item.m_Incoming) {
-        auto Con = m_Server.get_con_from_hdl(Item.m_Handle, Ec);
-        if (!Ec)
-          Visit(*Con);
-      } else {
-        auto Con = m_Client.get_con_from_hdl(Item.m_Handle, Ec);
-        if (!Ec)
-          Visit(*Con);
-      }
+    for (const auto &[Id, Item] : m_Connections)
+      visit(Item, Visit);
+  }
+
+  template <typename Visitor> void visit(const Connection &Item, Visitor Visit) {
+    websocketpp::lib::error_code Ec;
+    if (Item.m_Incoming) {
+      auto Con = m_Server.get_con_from_hdl(Item.m_Handle, Ec);
+      if (!Ec)
+        Visit(*Con);
+    } else {
+      auto Con = m_Client.get_con_from_hdl(Item.m_Handle, Ec);
+      if (!Ec)
+        Visit(*Con);
     }
   }
 
@@ -245,8 +281,10 @@
 
   const std::size_t m_MaxMessageBytes;
   TransportEvents m_Events;
-  boost::asio::io_context m_Io;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+  std::unique_ptr<boost::asio::io_context> m_OwnIo;
+  boost::asio::io_context &m_Io;
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
       m_Work;
   boost::asio::steady_timer m_FlushTimer{m_Io};
   Server m_Server;
@@ -264,7 +302,13 @@
 };
 
 Transport::Transport(std::size_t MaxMessageBytes, TransportEvents Events)
-    : m_Impl(std::make_unique<Impl>(MaxMessageBytes, std::move(Events))) {}
+    : m_Impl(std::make_unique<Impl>(MaxMessageBytes, std::move(Events),
+                                    nullptr)) {}
+
+Transport::Transport(std::size_t MaxMessageBytes, TransportEvents Events,
+                     boost::asio::io_context &Loop)
+    : m_Impl(std::make_unique<Impl>(MaxMessageBytes, std::move(Events),
+                                    &Loop)) {}
 
 Transport::~Transport() = default;
 
@@ -283,6 +327,14 @@
 
 void Transport::close(ConnectionId Connection) { m_Impl->close(Connection); }
 
+void Transport::abandon(ConnectionId Connection) {
+  m_Impl->abandon(Connection);
+}
+
+std::size_t Transport::queuedBytes(ConnectionId Connection) const {
+  return m_Impl->queuedBytes(Connection);
+}
+
 void Transport::stop() { m_Impl->stop(); }
 
 TransportTraffic Transport::traffic() const { return m_Impl->traffic(); }
--- /dev/null
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -0,0 +1,52 @@
+#ifndef AUBURNHUB_JOBS_JOBPARAMETERS_H
+#define AUBURNHUB_JOBS_JOBPARAMETERS_H
+
+#include "auburnhub/Policy/PolicyParameters.h"
+
+namespace auburnhub {
+
+/// The parameters of the placement of jobs. Times are milliseconds.
+struct JobParameters {
+  /// A job that no worker could take yet is refused after this share of its
+  /// latency objective: later the caller would be better served elsewhere.
+  double m_WaitShare = 0.25;
+  /// Taken off the waiting time for the way between caller and owner.
+  double m_PathMs = 4;
+  /// A result is late, but of use, up to this many times the objective.
+  double m_LateFactor = 3;
+  /// A run that has used this many times its expected time and has made less
+  /// progress than m_StalledPercent counts as stalled.
+  double m_StalledFactor = 3;
+  double m_MinStalledMs = 150; ///< Shorter runs are not judged.
+  double m_StalledPercent = 8;
+  /// Weight of one run in a worker's learned speed, once it has had enough.
+  double m_SpeedWeight = 0.12;
+  /// Weight of one run in the learned run time of a queue.
+  double m_RunTimeWeight = 0.02;
+  /// Bounds of a learned speed, relative to the service's mean.
+  double m_MinSpeed = 0.05;
+  double m_MaxSpeed = 4;
+  /// A run away from its data is expected to take this many times as long.
+  double m_FarFactor = 3;
+  /// A worker that refused for want of room gets nothing new for so long.
+  double m_RefusalPauseMs = 25;
+  /// Jobs that may wait at a node, a bound on its memory.
+  std::size_t m_MaxJobs = 2000;
+  /// When a caller that was refused may ask again.
+  double m_RetryAfterMs = 1000;
+  /// Health of a worker: failures in a row, ejection times.
+  PolicyParameters m_Health = defaultHealth();
+
+  static PolicyParameters defaultHealth() {
+    PolicyParameters Result;
+    Result.m_EjectAfterFailures = 3;
+    Result.m_MinEjectionMs = 1000;
+    Result.m_MaxEjectionMs = 8000;
+    Result.m_MaxEjectedShare = 0.5;
+    return Result;
+  }
+};
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Jobs/WorkerBook.h
@@ -0,0 +1,88 @@
+#ifndef AUBURNHUB_JOBS_WORKERBOOK_H
+#define AUBURNHUB_JOBS_WORKERBOOK_H
+
+#include "auburnhub/Jobs/Job.h"
+#include "auburnhub/Jobs/JobParameters.h"
+#include "auburnhub/Policy/EndpointHealth.h"
+#include "auburnhub/Policy/Types.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace auburnhub {
+
+/// One worker: its room, learned speed and health.
+struct WorkerRecord {
+  WorkerSpec m_Spec;
+  Resources m_Free;
+  bool m_Reachable = false; ///< Its session takes orders.
+  double m_Speed = 1;       ///< Relative to the service's mean.
+  std::uint32_t m_SpeedSamples = 0;
+  EndpointHealth m_Health;
+  TimePoint m_EjectedUntil;
+  TimePoint m_PausedUntil;
+  std::size_t m_Running = 0;
+
+  /// Tells whether it may get something new.
+  bool isOpen(TimePoint Now) const;
+};
+
+/// What a task asks of the worker that is to run it.
+struct TaskNeeds {
+  std::string_view m_Service;
+  const JobStep *m_Step = nullptr;
+  double m_ExpectedMs = 0; ///< On a worker of speed 1.
+  const std::set<std::string> *m_Avoid = nullptr;
+  /// How many tasks of the step run on a worker already.
+  std::function<std::uint32_t(const std::string &)> m_OnWorker;
+};
+
+/// A worker chosen for a task, with what a decision's log line shows.
+struct WorkerChoice {
+  WorkerRecord *m_Worker = nullptr;
+  double m_ExpectedMs = 0;
+  std::size_t m_Candidates = 0;
+};
+
+/// Keeps the workers of one owner and chooses among them: the least expected
+/// completion, and of equals the one that the task fills best.
+class WorkerBook {
+public:
+  explicit WorkerBook(JobParameters Parameters) : m_Parameters(Parameters) {}
+
+  WorkerRecord &put(const WorkerSpec &Spec);
+  void erase(const std::string &Id) { m_Workers.erase(Id); }
+  WorkerRecord *find(const std::string &Id);
+  const std::map<std::string, WorkerRecord> &all() const { return m_Workers; }
+
+  std::optional<WorkerChoice> choose(TimePoint Now, const TaskNeeds &Needs);
+
+  /// Tells whether some worker could hold a task if it were empty.
+  bool couldEverHold(std::string_view Service, const JobStep &Step) const;
+
+  /// Returns the highest speed among open workers of a service; 1 if none.
+  double bestSpeed(TimePoint Now, std::string_view Service) const;
+
+  /// Returns how many tasks of this size could start now.
+  std::size_t freeSlots(TimePoint Now, const Resources &Each) const;
+
+  /// Learns from a run that ended well: its time against the expected one.
+  void noteRunTime(WorkerRecord &Worker, double TookMs, double ExpectedMs) const;
+  void noteSuccess(WorkerRecord &Worker) const;
+  void noteFailure(TimePoint Now, WorkerRecord &Worker);
+
+private:
+  void refreshHealth(TimePoint Now);
+
+  JobParameters m_Parameters;
+  std::map<std::string, WorkerRecord> m_Workers;
+};
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -0,0 +1,407 @@
+#ifndef AUBURNHUB_JOBS_WORKERSESSIONIMPL_H
+#define AUBURNHUB_JOBS_WORKERSESSIONIMPL_H
+
+#include "auburnhub/Jobs/WorkerSession.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace auburnhub {
+
+template <WorkerTransport Transport>
+WorkerSession<Transport>::WorkerSession(EventLoop &Loop, Transport &Orders,
+                                        const StateChart &Chart,
+                                        const WorkerSessionSettings &Settings,
+                                        WorkerSpec Spec, FencingToken Token,
+                                        WorkerSessionEvents Events)
+    : m_Loop(Loop), m_Orders(Orders), m_Chart(Chart), m_Settings(Settings),
+      m_Spec(std::move(Spec)), m_Token(Token), m_Events(std::move(Events)),
+      m_Phase(Chart.initial()),
+      m_Serving(Chart.findState("serving").value_or(Chart.initial())),
+      m_Self(std::make_shared<WorkerSession *>(this)) {}
+
+template <WorkerTransport Transport>
+const StateChart::Vocabulary &WorkerSession<Transport>::vocabulary() {
+  static const StateChart::Vocabulary Words{
+      {}, {"announce_reachable", "announce_unreachable"}, false};
+  return Words;
+}
+
+template <WorkerTransport Transport>
+std::vector<RunId> WorkerSession<Transport>::runs() const {
+  std::vector<RunId> Result;
+  for (const auto &[Id, Item] : m_Runs)
+    Result.push_back(Id);
+  return Result;
+}
+
+template <WorkerTransport Transport> void WorkerSession<Transport>::begin() {
+  // What an earlier owner started may live as long as a lease from now on.
+  m_LeaseEnd = EventLoop::now();
+  renew();
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::fire(std::string_view Event) {
+  auto EventId = m_Chart.findEvent(Event);
+  if (!EventId)
+    return;
+  const StateChart::Transition *Taken =
+      m_Chart.next(m_Phase, *EventId, [](std::string_view) { return true; });
+  if (!Taken)
+    return;
+  m_Log.info("worker_state", {{"worker", m_Spec.m_Id},
+                              {"token", m_Token},
+                              {"from", m_Chart.stateName(m_Phase)},
+                              {"to", m_Chart.stateName(Taken->m_To)},
+                              {"cause", Event},
+                              {"runs", m_Runs.size()}});
+  m_Phase = Taken->m_To;
+  for (const std::string &Action : Taken->m_Actions)
+    m_Events.m_Reachable(Action == "announce_reachable");
+}
+
+template <WorkerTransport Transport>
+std::int64_t WorkerSession<Transport>::leaseUntil(TimePoint Now) const {
+  double Elapsed = millisecondsBetween(m_ClockAt, Now);
+  return m_ClockMs + static_cast<std::int64_t>(Elapsed + m_Settings.m_LeaseMs);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::noteClock(std::int64_t ClockMs) {
+  m_ClockMs = ClockMs;
+  m_ClockAt = EventLoop::now();
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::noteLease(TimePoint Now) {
+  double Longest = m_Settings.m_LeaseMs * (1 + m_Settings.m_LeaseClockShare) +
+                   m_Settings.m_OrderTimeoutMs;
+  m_LeaseEnd = std::max(m_LeaseEnd, addMs(Now, Longest));
+}
+
+template <WorkerTransport Transport>
+RunId WorkerSession<Transport>::findRun(const TaskRef &Task,
+                                        std::uint32_t Number) const {
+  for (const auto &[Id, Item] : m_Runs)
+    if (Item.m_Number == Number && Item.m_Task == Task)
+      return Id;
+  return 0;
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::start(RunId Id, const TaskRef &Task,
+                                     std::uint32_t Number,
+                                     const std::string &Spec,
+                                     double ExpectedMs) {
+  TimePoint Now = EventLoop::now();
+  Run &Added = m_Runs[Id];
+  Added.m_Task = Task;
+  Added.m_Number = Number;
+  Added.m_StartedAt = Now;
+  Added.m_ExpectedMs = ExpectedMs;
+  noteLease(Now);
+  StartOrder Order{Task, Number, Spec, m_Token, leaseUntil(Now)};
+  std::weak_ptr<WorkerSession *> Weak = m_Self;
+  m_Orders.start(
+      m_Spec, Order,
+      EventLoop::Duration(static_cast<int>(m_Settings.m_OrderTimeoutMs)),
+      [Weak, Id](const OrderReply &Reply) {
+        if (auto Self = Weak.lock())
+          (*Self)->onStartAnswer(Id, Reply);
+      });
+  renew();
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::onStartAnswer(RunId Id,
+                                             const OrderReply &Reply) {
+  if (Reply.m_WorkerClockMs)
+    noteClock(*Reply.m_WorkerClockMs);
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end() || m_Over)
+    return;
+  Run &Item = Found->second;
+  auto Refuse = [&](RefusalReason Why) {
+    m_Runs.erase(Found);
+    m_Events.m_Refused(Id, Why);
+  };
+  switch (Reply.m_Answer) {
+  case OrderAnswer::Accepted:
+    if (!Item.m_Accepted) {
+      Item.m_Accepted = true;
+      Item.m_KnownSince = EventLoop::now();
+      m_Events.m_Accepted(Id);
+    }
+    return;
+  case OrderAnswer::Fenced:
+    Refuse(RefusalReason::Unreachable);
+    fenced();
+    return;
+  case OrderAnswer::NumberUsed:
+    return Refuse(RefusalReason::NumberUsed);
+  case OrderAnswer::Expired:
+    return Refuse(RefusalReason::Expired);
+  case OrderAnswer::NoRoom:
+    return Refuse(RefusalReason::NoRoom);
+  case OrderAnswer::Invalid:
+    return Refuse(RefusalReason::Invalid);
+  case OrderAnswer::Unhealthy:
+    return Refuse(RefusalReason::Unhealthy);
+  case OrderAnswer::OtherIncarnation:
+    Refuse(RefusalReason::Unreachable);
+    onSilence();
+    return;
+  case OrderAnswer::NotSent:
+    Refuse(RefusalReason::Unreachable);
+    onSilence();
+    return;
+  case OrderAnswer::NoAnswer:
+    if (Item.m_Accepted)
+      return;
+    Item.m_InDoubt = true;
+    m_Log.info("order_unanswered", {{"worker", m_Spec.m_Id},
+                                    {"task", Item.m_Task.str()},
+                                    {"run", Item.m_Number}});
+    stop(Id);
+    return;
+  }
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::sendStop(
+    const TaskRef &Task, std::uint32_t Number,
+    std::function<void(const OrderReply &)> Answered) {
+  StopOrder Order{Task, Number, m_Token};
+  std::weak_ptr<WorkerSession *> Weak = m_Self;
+  m_Orders.stop(
+      m_Spec, Order,
+      EventLoop::Duration(static_cast<int>(m_Settings.m_OrderTimeoutMs)),
+      [Weak, Answered = std::move(Answered)](const OrderReply &Reply) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Reply.m_WorkerClockMs)
+          (*Self)->noteClock(*Reply.m_WorkerClockMs);
+        Answered(Reply);
+      });
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::stop(RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end() || m_Over)
+    return;
+  Found->second.m_StopWanted = true;
+  sendRunStop(Id);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::sendRunStop(RunId Id) {
+  Run &Item = m_Runs.at(Id);
+  if (Item.m_StopPending || Item.m_StopConfirmed)
+    return;
+  Item.m_StopPending = true;
+  sendStop(Item.m_Task, Item.m_Number, [this, Id](const OrderReply &Reply) {
+    auto Found = m_Runs.find(Id);
+    if (Found == m_Runs.end() || m_Over)
+      return;
+    Found->second.m_StopPending = false;
+    if (Reply.m_Answer == OrderAnswer::Fenced) {
+      fenced();
+      return;
+    }
+    if (Reply.m_Answer == OrderAnswer::Accepted ||
+        Reply.m_Answer == OrderAnswer::NumberUsed)
+      Found->second.m_StopConfirmed = EventLoop::now();
+    else if (m_Phase == m_Serving)
+      sendRunStop(Id);
+    renew();
+  });
+}
+
+template <WorkerTransport Transport>
+bool WorkerSession<Transport>::overdue(TimePoint Now) const {
+  return std::any_of(m_Runs.begin(), m_Runs.end(), [&](const auto &Entry) {
+    const Run &Item = Entry.second;
+    return Item.m_StopWanted || Item.m_InDoubt ||
+           millisecondsBetween(Item.m_StartedAt, Now) >
+               Item.m_ExpectedMs + m_Settings.m_BusyWaitMs;
+  });
+}
+
+template <WorkerTransport Transport> void WorkerSession<Transport>::renew() {
+  if (m_Renewing || m_Over)
+    return;
+  TimePoint Now = EventLoop::now();
+  bool Serving = m_Phase == m_Serving;
+  RenewOrder Order;
+  Order.m_Token = m_Token;
+  Order.m_LastEndSeen = m_LastEndSeen;
+  if (Serving && !m_Runs.empty()) {
+    noteLease(Now);
+    Order.m_LeaseUntilMs = leaseUntil(Now);
+    Order.m_Wait = EventLoop::Duration(static_cast<int>(
+        overdue(Now) ? m_Settings.m_BusyWaitMs : m_Settings.m_RenewWaitMs));
+  }
+  m_LastEndSent = m_LastEndSeen;
+  m_Renewing = true;
+  m_Probe.reset();
+  auto Timeout = Order.m_Wait +
+                 EventLoop::Duration(static_cast<int>(m_Settings.m_RenewSlackMs));
+  std::weak_ptr<WorkerSession *> Weak = m_Self;
+  m_Orders.renew(m_Spec, Order, Timeout, [Weak, Now](const RenewReply &Reply) {
+    if (auto Self = Weak.lock())
+      (*Self)->onRenewAnswer(Now, Reply);
+  });
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::onRenewAnswer(TimePoint SentAt,
+                                             const RenewReply &Reply) {
+  m_Renewing = false;
+  if (m_Over)
+    return;
+  if (Reply.m_Answer == OrderAnswer::Fenced) {
+    fenced();
+    return;
+  }
+  if (Reply.m_Answer != OrderAnswer::Accepted) {
+    onSilence();
+    return;
+  }
+  noteClock(Reply.m_WorkerClockMs);
+  m_LastAnswer = EventLoop::now();
+  m_ProbePauseMs = 0;
+  if (m_BornMs != Reply.m_BornMs) {
+    if (m_BornMs != 0) {
+      m_LastEndSeen = 0;
+      endAll(RunEnd::Lapsed);
+    }
+    m_BornMs = Reply.m_BornMs;
+  }
+  std::weak_ptr<WorkerSession *> Weak = m_Self;
+  takeEnds(Reply);
+  takeRunning(SentAt, Reply);
+  bool Strays = stopStrays(Reply);
+  if (!Strays || m_Phase == m_Serving)
+    fire("answered");
+  if (Weak.expired() || m_Over)
+    return;
+  for (auto &[Id, Item] : m_Runs)
+    if (Item.m_StopWanted)
+      sendRunStop(Id);
+  if (!m_Runs.empty() || m_LastEndSeen > m_LastEndSent)
+    renew();
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::takeEnds(const RenewReply &Reply) {
+  for (const ListedEnd &End : Reply.m_Ended) {
+    if (End.m_Sequence <= m_LastEndSeen)
+      continue;
+    m_LastEndSeen = End.m_Sequence;
+    if (RunId Id = findRun(End.m_Task, End.m_Number))
+      endRun(Id, End.m_How);
+  }
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::takeRunning(TimePoint SentAt,
+                                           const RenewReply &Reply) {
+  std::vector<RunId> Listed;
+  for (const ListedRun &Running : Reply.m_Running) {
+    RunId Id = findRun(Running.m_Task, Running.m_Number);
+    if (Id == 0)
+      continue;
+    Listed.push_back(Id);
+    Run &Item = m_Runs.at(Id);
+    if (!Item.m_Accepted && !Item.m_StopWanted) {
+      Item.m_Accepted = true;
+      Item.m_KnownSince = EventLoop::now();
+      m_Events.m_Accepted(Id);
+    }
+    m_Events.m_Progress(Id, Running.m_Percent);
+  }
+  std::vector<RunId> Over;
+  for (const auto &[Id, Item] : m_Runs) {
+    if (std::find(Listed.begin(), Listed.end(), Id) != Listed.end())
+      continue;
+    // The list must be newer than what it is to disprove.
+    bool Missing = Item.m_Accepted && Item.m_KnownSince < SentAt;
+    bool NeverStarted =
+        Item.m_StopConfirmed && *Item.m_StopConfirmed < SentAt;
+    if (Missing || NeverStarted)
+      Over.push_back(Id);
+  }
+  for (RunId Id : Over)
+    endRun(Id, RunEnd::Lapsed);
+}
+
+template <WorkerTransport Transport>
+bool WorkerSession<Transport>::stopStrays(const RenewReply &Reply) {
+  bool Any = false;
+  for (const ListedRun &Running : Reply.m_Running) {
+    if (findRun(Running.m_Task, Running.m_Number) != 0)
+      continue;
+    Any = true;
+    m_Log.info("stray_run_stopped", {{"worker", m_Spec.m_Id},
+                                     {"task", Running.m_Task.str()},
+                                     {"run", Running.m_Number},
+                                     {"token", m_Token}});
+    sendStop(Running.m_Task, Running.m_Number, [this](const OrderReply &) {
+      // The next list shows whether the order has worked.
+      renew();
+    });
+  }
+  return Any;
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::onSilence() {
+  TimePoint Now = EventLoop::now();
+  std::weak_ptr<WorkerSession *> Weak = m_Self;
+  fire("silent");
+  if (Weak.expired() || m_Over)
+    return;
+  if (Now >= m_LeaseEnd)
+    endAll(RunEnd::Lapsed);
+  probeLater();
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::probeLater() {
+  if (m_Renewing)
+    return;
+  m_Probe = m_Loop.once(
+      EventLoop::Duration(static_cast<int>(m_ProbePauseMs)), [this] { renew(); });
+  m_ProbePauseMs = std::clamp(2 * m_ProbePauseMs, m_Settings.m_ProbeMs,
+                              m_Settings.m_MaxProbeMs);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::endRun(RunId Id, RunEnd How) {
+  m_Runs.erase(Id);
+  m_Events.m_Ended(Id, How);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::endAll(RunEnd How) {
+  for (RunId Id : runs())
+    endRun(Id, How);
+}
+
+template <WorkerTransport Transport> void WorkerSession<Transport>::fenced() {
+  if (std::exchange(m_Over, true))
+    return;
+  m_Probe.reset();
+  m_Log.info("fenced", {{"worker", m_Spec.m_Id},
+                        {"token", m_Token},
+                        {"runs", m_Runs.size()}});
+  m_Events.m_Fenced();
+}
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Node/Node.h
@@ -0,0 +1,144 @@
+#ifndef AUBURNHUB_NODE_NODE_H
+#define AUBURNHUB_NODE_NODE_H
+
+#include "auburnhub/Node/JobRouter.h"
+#include "auburnhub/Node/PeerLinks.h"
+#include "auburnhub/Node/ShardHost.h"
+#include "auburnhub/Node/ShardMap.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnhub {
+
+/// Who a node is and how it works.
+struct NodeSettings {
+  std::string m_Name;
+  std::string m_DataCentre;
+  Address m_LinkAddress;
+  double m_Weight = 1; ///< Its share of a core.
+  WorkerSessionSettings m_Session;
+  JobParameters m_Jobs;
+};
+
+struct NodeEvents {
+  /// A peer handed over a document with a higher version than ours.
+  std::function<void(const Document &)> m_DocumentReceived;
+};
+
+/// One process of the system: takes callers' jobs, and owns shards of workers
+/// on which it runs jobs of all nodes.
+///
+/// Nodes are equal. Which of them owns a shard follows from who is up; the
+/// fencing token of a claim, which rises with the wall clock and above every
+/// token seen, decides between two that both believe to be the owner.
+template <WorkerTransport Transport> class Node {
+public:
+  Node(EventLoop &Loop, Transport &Orders, const StateChart &SessionChart,
+       NodeSettings Settings, MetricsRegistry &Metrics, NodeEvents Events);
+
+  /// Accepts links. Fails with Unavailable.
+  absl::Status start();
+
+  void addPeer(const Address &LinkAddress) { m_Links.keep(LinkAddress); }
+  void putWorker(const WorkerSpec &Spec);
+  /// A registration is gone. A worker that still answers is used on for a
+  /// while: registrations also lapse while the platform is out of reach.
+  void removeWorker(const std::string &Id);
+  /// The list of workers is now complete up to this moment.
+  void workersRead() { m_WorkersRead = true; }
+
+  /// Keeps a document for peers that cannot read it themselves.
+  void setDocument(const std::string &Name, std::uint64_t Version,
+                   std::string Text);
+  std::uint64_t documentVersion(const std::string &Name) const;
+  /// Asks peers for a document with a higher version than ours.
+  void requestDocument(const std::string &Name);
+
+  std::uint64_t submit(JobRequest Job, JobRouter::Done Done);
+  void callerGone(std::uint64_t Call) { m_Router.callerGone(Call); }
+  /// Cancels a job wherever it runs; Done tells whether it was known.
+  void cancel(const std::string &Job, std::function<void(bool Known)> Done);
+  bool knows(const std::string &Job) const { return m_Router.knows(Job); }
+
+  /// Hands shards over and takes no jobs of other nodes any more.
+  void drain();
+  /// Returns whether nothing is left that a stop would cut.
+  bool drained() const;
+  /// Returns whether callers' jobs can be served.
+  bool canServe() const { return m_Router.hasOwner(); }
+
+private:
+  struct Requester {
+    std::string m_Node; ///< Empty: this node.
+    std::uint64_t m_Call = 0;
+  };
+  struct Cancelling {
+    std::function<void(bool)> m_Done;
+    std::size_t m_Outstanding = 0;
+    EventLoop::Timer m_Timer;
+  };
+
+  void onPeerUp(const NodeHello &Hello);
+  void onPeerDown(const std::string &Name);
+  void onReceived(const std::string &From, const Envelope &Received);
+  void onStatus(const std::string &From, const NodeStatus &Status);
+  void onSubmit(const std::string &From, const SubmitJob &Msg);
+  void onCancel(const std::string &From, const CancelJob &Msg);
+  void onCancelAnswer(const CancelAnswer &Msg);
+  void onDocumentRequest(const std::string &From, const DocumentRequest &Msg);
+  void onDocument(const Document &Msg);
+  void onJobOver(const JobOver &Over);
+  void onFenced(const ShardId &Shard);
+  void onHostChanged();
+
+  void accept(Requester From, const JobRequest &Job);
+  void answer(const Requester &To, const JobResult &Result);
+  void submitTo(const std::string &Owner, std::uint64_t Call,
+                const JobRequest &Job);
+  void cancelAt(const std::string &Owner, const std::string &Job);
+  bool couldEverRun(const JobRequest &Job) const;
+
+  void tick();
+  void updateOwnership();
+  void claim(const ShardId &Shard);
+  void reconcile();
+  void updateRouter();
+  void sendStatus();
+  void sendStatusSoon();
+  NodeStatus status() const;
+
+  EventLoop &m_Loop;
+  NodeSettings m_Settings;
+  NodeEvents m_Events;
+  Log m_Log{"ownership"};
+  ShardMap m_Shards;
+  ShardHost<Transport> m_Host;
+  JobRouter m_Router;
+  std::map<std::string, WorkerSpec> m_Workers;
+  std::map<std::string, TimePoint> m_Removed; ///< When its entry went.
+  bool m_WorkersRead = false;
+  std::map<std::string, Requester> m_Requesters; ///< By job, at its owner.
+  std::map<std::string, Document> m_Documents;
+  std::map<std::uint64_t, Cancelling> m_Cancels;
+  std::uint64_t m_LastCancel = 0;
+  TimePoint m_Started;
+  TimePoint m_LastTick;
+  TimePoint m_ClaimNotBefore;
+  double m_FencePauseMs = 0;
+  bool m_Draining = false;
+  TimePoint m_StatusSent;
+  std::uint64_t m_SentFree = 0;
+  EventLoop::Timer m_Tick;
+  EventLoop::Timer m_StatusTimer;
+  PeerLinks m_Links;
+};
+
+} // namespace auburnhub
+
+#include "auburnhub/Node/NodeImpl.h"
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -0,0 +1,533 @@
+#ifndef AUBURNHUB_NODE_NODEIMPL_H
+#define AUBURNHUB_NODE_NODEIMPL_H
+
+#include "auburnhub/Node/Node.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace auburnhub {
+
+namespace nodetimes {
+
+/// Period of heartbeats: a third of the silence after which a link is given
+/// up, so that two may be lost or late.
+inline constexpr EventLoop::Duration Heartbeat{200};
+
+/// Least time between two statuses that only tell the load, in milliseconds:
+/// short against the run time of the shortest tasks.
+inline constexpr EventLoop::Duration LoadUpdate{25};
+
+/// A fresh node waits so long for links before it claims a shard without an
+/// owner, in milliseconds: some round trips and the greeting.
+inline constexpr double SettleMs = 600;
+
+/// A worker whose registration is gone is used on for so long while it
+/// answers, in milliseconds: lapsed entries of living workers are back within
+/// two seconds of the platform's return.
+inline constexpr double LapsedEntryMs = 2500;
+
+/// Bounds of the pause after another node has fenced this one, in
+/// milliseconds: long enough to hear of its claim.
+inline constexpr double MinFencePauseMs = 600;
+inline constexpr double MaxFencePauseMs = 4000;
+
+/// The process stood still if a heartbeat comes so late, in milliseconds.
+inline constexpr double StalledMs = 600;
+
+/// How long the nodes asked may take to say whether they know a job.
+inline constexpr EventLoop::Duration CancelAnswerTime{500};
+
+/// Tokens of one millisecond: room for different nodes to differ.
+inline constexpr std::uint64_t TokensPerMs = 1024;
+
+} // namespace nodetimes
+
+template <WorkerTransport Transport>
+Node<Transport>::Node(EventLoop &Loop, Transport &Orders,
+                      const StateChart &SessionChart, NodeSettings Settings,
+                      MetricsRegistry &Metrics, NodeEvents Events)
+    : m_Loop(Loop), m_Settings(std::move(Settings)),
+      m_Events(std::move(Events)),
+      m_Shards(m_Settings.m_Name, m_Settings.m_DataCentre, m_Settings.m_Weight),
+      m_Host(Loop, Orders, SessionChart, m_Settings.m_Session,
+             m_Settings.m_Jobs, Metrics,
+             {[this](const JobOver &Over) { onJobOver(Over); },
+              [this](const ShardId &Shard) { onFenced(Shard); },
+              [this] { onHostChanged(); }}),
+      m_Router(Loop, m_Settings.m_DataCentre, Metrics,
+               {[this](const std::string &Owner, std::uint64_t Call,
+                       const JobRequest &Job) { submitTo(Owner, Call, Job); },
+                [this](const std::string &Owner, const std::string &Job) {
+                  cancelAt(Owner, Job);
+                },
+                [this](const JobRequest &Job) { return couldEverRun(Job); }}),
+      m_Started(EventLoop::now()), m_LastTick(m_Started),
+      m_ClaimNotBefore(addMs(m_Started, nodetimes::SettleMs)),
+      m_Links(Loop,
+              NodeHello{m_Settings.m_Name, m_Settings.m_DataCentre,
+                        m_Settings.m_LinkAddress.str(),
+                        static_cast<std::uint64_t>(EventLoop::wallMilliseconds()),
+                        m_Settings.m_Weight,
+                        {}},
+              {[this](const NodeHello &Hello) { onPeerUp(Hello); },
+               [this](const std::string &Name) { onPeerDown(Name); },
+               [this](const std::string &From, const Envelope &Received) {
+                 onReceived(From, Received);
+               }}) {
+  m_Tick = Loop.every(nodetimes::Heartbeat, [this] { tick(); });
+}
+
+template <WorkerTransport Transport> absl::Status Node<Transport>::start() {
+  return m_Links.listen(m_Settings.m_LinkAddress);
+}
+
+// Registrations and documents.
+
+template <WorkerTransport Transport>
+void Node<Transport>::putWorker(const WorkerSpec &Spec) {
+  m_Removed.erase(Spec.m_Id);
+  auto [It, Added] = m_Workers.try_emplace(Spec.m_Id, Spec);
+  if (!Added && It->second == Spec)
+    return;
+  if (Added || It->second.m_Leaving != Spec.m_Leaving)
+    m_Log.info("worker_listed", {{"worker", Spec.m_Id},
+                                 {"leaving", Spec.m_Leaving},
+                                 {"workers", m_Workers.size()}});
+  It->second = Spec;
+  updateOwnership();
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::removeWorker(const std::string &Id) {
+  if (m_Workers.contains(Id))
+    m_Removed.try_emplace(Id, EventLoop::now());
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::setDocument(const std::string &Name,
+                                  std::uint64_t Version, std::string Text) {
+  m_Documents[Name] = {Name, Version, std::move(Text)};
+}
+
+template <WorkerTransport Transport>
+std::uint64_t
+Node<Transport>::documentVersion(const std::string &Name) const {
+  auto Found = m_Documents.find(Name);
+  return Found == m_Documents.end() ? 0 : Found->second.m_Version;
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::requestDocument(const std::string &Name) {
+  m_Links.broadcast(DocumentRequest{Name, documentVersion(Name)});
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onDocumentRequest(const std::string &From,
+                                        const DocumentRequest &Msg) {
+  auto Found = m_Documents.find(Msg.m_Name);
+  if (Found != m_Documents.end() && Found->second.m_Version > Msg.m_Above)
+    m_Links.send(From, Found->second);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onDocument(const Document &Msg) {
+  if (Msg.m_Version > documentVersion(Msg.m_Name))
+    m_Events.m_DocumentReceived(Msg);
+}
+
+// Peers.
+
+template <WorkerTransport Transport>
+void Node<Transport>::onPeerUp(const NodeHello &Hello) {
+  m_Shards.nodeUp(EventLoop::now(), Hello);
+  m_Links.send(Hello.m_Node, status());
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onPeerDown(const std::string &Name) {
+  m_Shards.nodeDown(Name);
+  m_Router.ownerLost(Name);
+  std::vector<std::string> Orphans;
+  for (const auto &[Job, From] : m_Requesters)
+    if (From.m_Node == Name)
+      Orphans.push_back(Job);
+  for (const std::string &Job : Orphans)
+    m_Host.cancel(Job);
+  updateOwnership();
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onReceived(const std::string &From,
+                                 const Envelope &Received) {
+  auto Handle = [&]<typename Type>(auto &&Call, const Type *) {
+    if (Received.m_Type != Type::TypeName)
+      return;
+    absl::StatusOr<Type> Msg = decode<Type>(Received);
+    if (Msg.ok())
+      Call(*Msg);
+    else
+      m_Log.warning("bad_message", {{"peer", From},
+                                    {"type", Received.m_Type},
+                                    {"detail", failureDetail(Msg.status())}});
+  };
+  Handle([&](const NodeStatus &M) { onStatus(From, M); },
+         static_cast<const NodeStatus *>(nullptr));
+  Handle([&](const SubmitJob &M) { onSubmit(From, M); },
+         static_cast<const SubmitJob *>(nullptr));
+  Handle([&](const JobAnswer &M) { m_Router.answered(M); },
+         static_cast<const JobAnswer *>(nullptr));
+  Handle([&](const CancelJob &M) { onCancel(From, M); },
+         static_cast<const CancelJob *>(nullptr));
+  Handle([&](const CancelAnswer &M) { onCancelAnswer(M); },
+         static_cast<const CancelAnswer *>(nullptr));
+  Handle([&](const DocumentRequest &M) { onDocumentRequest(From, M); },
+         static_cast<const DocumentRequest *>(nullptr));
+  Handle([&](const Document &M) { onDocument(M); },
+         static_cast<const Document *>(nullptr));
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onStatus(const std::string &From,
+                               const NodeStatus &Status) {
+  m_Shards.nodeStatus(From, Status);
+  for (const auto &[Name, Version] : Status.m_Documents)
+    if (Name == "configuration" && Version > documentVersion(Name) &&
+        EventLoop::now() - m_Started > nodetimes::Heartbeat)
+      m_Links.send(From, DocumentRequest{Name, documentVersion(Name)});
+  updateRouter();
+  m_Router.ownerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
+  updateOwnership();
+}
+
+// Jobs.
+
+template <WorkerTransport Transport>
+std::uint64_t Node<Transport>::submit(JobRequest Job, JobRouter::Done Done) {
+  return m_Router.submit(std::move(Job), std::move(Done));
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::submitTo(const std::string &Owner, std::uint64_t Call,
+                               const JobRequest &Job) {
+  if (Owner == m_Settings.m_Name)
+    accept({"", Call}, Job);
+  else
+    m_Links.send(Owner, SubmitJob{Call, Job});
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::cancelAt(const std::string &Owner,
+                               const std::string &Job) {
+  if (Owner == m_Settings.m_Name)
+    m_Host.cancel(Job);
+  else
+    m_Links.send(Owner, CancelJob{Job, 0});
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onSubmit(const std::string &From, const SubmitJob &Msg) {
+  accept({From, Msg.m_Call}, Msg.m_Job);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::accept(Requester From, const JobRequest &Job) {
+  auto Known = m_Requesters.find(Job.m_Id);
+  if (Known != m_Requesters.end() && m_Host.knows(Job.m_Id)) {
+    // The same job, handed in again: the newer call gets its answer.
+    answer(Known->second, {JobOutcome::GivenUp, JobReason::Cancelled, 0});
+    Known->second = From;
+    return;
+  }
+  if (m_Draining || !m_Host.holdsAny()) {
+    answer(From, {JobOutcome::NotRun,
+                  m_Draining ? JobReason::Stopping : JobReason::NoOwner, 0});
+    return;
+  }
+  m_Requesters[Job.m_Id] = From;
+  m_Host.submit(Job);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onJobOver(const JobOver &Over) {
+  auto Found = m_Requesters.find(Over.m_Job);
+  if (Found == m_Requesters.end())
+    return;
+  Requester To = Found->second;
+  m_Requesters.erase(Found);
+  answer(To, Over.m_Result);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::answer(const Requester &To, const JobResult &Result) {
+  JobAnswer Msg;
+  Msg.m_Call = To.m_Call;
+  Msg.m_Outcome = Result.m_Outcome;
+  Msg.m_Reason = Result.m_Reason;
+  Msg.m_RetryAfterMs = Result.m_RetryAfterMs;
+  Msg.m_FreeSlots = m_Host.freeSlots();
+  Msg.m_WaitingTasks = m_Host.waitingTasks();
+  if (To.m_Node.empty())
+    // Not from within the call that submits.
+    m_Loop.post([this, Msg] { m_Router.answered(Msg); });
+  else
+    m_Links.send(To.m_Node, Msg);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::cancel(const std::string &Job,
+                             std::function<void(bool)> Done) {
+  if (m_Host.cancel(Job)) {
+    Done(true);
+    return;
+  }
+  std::uint64_t Id = ++m_LastCancel;
+  std::size_t Asked = m_Links.broadcast(CancelJob{Job, Id});
+  if (Asked == 0) {
+    Done(false);
+    return;
+  }
+  Cancelling &Item = m_Cancels[Id];
+  Item.m_Done = std::move(Done);
+  Item.m_Outstanding = Asked;
+  Item.m_Timer = m_Loop.once(nodetimes::CancelAnswerTime, [this, Id] {
+    auto Node = m_Cancels.extract(Id);
+    if (!Node.empty())
+      Node.mapped().m_Done(false);
+  });
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onCancel(const std::string &From, const CancelJob &Msg) {
+  bool Known = m_Host.cancel(Msg.m_Id);
+  if (Msg.m_Call != 0)
+    m_Links.send(From, CancelAnswer{Msg.m_Call, Known});
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onCancelAnswer(const CancelAnswer &Msg) {
+  auto Found = m_Cancels.find(Msg.m_Call);
+  if (Found == m_Cancels.end())
+    return;
+  if (!Msg.m_Known && --Found->second.m_Outstanding > 0)
+    return;
+  auto Done = std::move(Found->second.m_Done);
+  m_Cancels.erase(Found);
+  Done(Msg.m_Known);
+}
+
+template <WorkerTransport Transport>
+bool Node<Transport>::couldEverRun(const JobRequest &Job) const {
+  const std::string &Service = Job.m_Policy.m_Service;
+  bool AnyWorker = false;
+  for (const auto &[Id, Spec] : m_Workers)
+    AnyWorker = AnyWorker || Spec.m_Service == Service;
+  if (!AnyWorker)
+    return true;
+  return std::all_of(
+      Job.m_Steps.begin(), Job.m_Steps.end(), [&](const JobStep &Step) {
+        return std::any_of(
+            m_Workers.begin(), m_Workers.end(), [&](const auto &Entry) {
+              const WorkerSpec &Spec = Entry.second;
+              return Spec.m_Service == Service &&
+                     Step.m_Each.fitsInto(Spec.m_Capacity) &&
+                     (Step.m_RequiredLabel.empty() ||
+                      Spec.hasLabel(Step.m_RequiredLabel));
+            });
+      });
+}
+
+// Ownership.
+
+template <WorkerTransport Transport> void Node<Transport>::tick() {
+  TimePoint Now = EventLoop::now();
+  double Since = millisecondsBetween(std::exchange(m_LastTick, Now), Now);
+  if (Since > nodetimes::StalledMs) {
+    // Others may have taken over meanwhile: hear them first.
+    m_Log.warning("process_stalled", {{"for_ms", Since}});
+    m_ClaimNotBefore = std::max(m_ClaimNotBefore, addMs(Now, nodetimes::SettleMs));
+  }
+  std::vector<std::string> Gone;
+  for (const auto &[Id, At] : m_Removed) {
+    double Lapsed = millisecondsBetween(At, Now);
+    if (Lapsed > nodetimes::LapsedEntryMs ||
+        !m_Host.answered(Id, addMs(Now, -nodetimes::LapsedEntryMs)))
+      Gone.push_back(Id);
+  }
+  for (const std::string &Id : Gone) {
+    m_Removed.erase(Id);
+    m_Workers.erase(Id);
+    m_Log.info("worker_gone", {{"worker", Id}, {"workers", m_Workers.size()}});
+  }
+  updateOwnership();
+  sendStatus();
+}
+
+template <WorkerTransport Transport> void Node<Transport>::updateOwnership() {
+  TimePoint Now = EventLoop::now();
+  std::vector<std::pair<std::string, std::string>> Workers;
+  Workers.reserve(m_Workers.size());
+  for (const auto &[Id, Spec] : m_Workers)
+    Workers.emplace_back(Id, Spec.m_DataCentre);
+  m_Shards.setWorkers(Workers);
+  bool Changed = false;
+  for (const ShardId &Shard : m_Shards.outbid()) {
+    m_Log.info("shard_outbid", {{"shard", Shard.str()}});
+    m_Shards.lost(Shard);
+    m_Host.dropShard(Shard);
+    Changed = true;
+  }
+  for (const ShardId &Shard : m_Shards.toRelease(Now)) {
+    m_Log.info("shard_releasing", {{"shard", Shard.str()},
+                                   {"draining", m_Draining}});
+    m_Shards.ownClaim(Shard)->m_Releasing = true;
+    Changed = true;
+  }
+  if (Now >= m_ClaimNotBefore && m_WorkersRead && !m_Draining)
+    for (const ShardId &Shard : m_Shards.toClaim(Now)) {
+      claim(Shard);
+      Changed = true;
+    }
+  std::vector<ShardId> Released;
+  for (const ShardClaim &Claim : m_Shards.ownClaims()) {
+    if (!Claim.m_Releasing)
+      continue;
+    std::vector<std::string> Busy = m_Host.busyWorkers(Claim.m_Shard);
+    ShardClaim *Own = m_Shards.ownClaim(Claim.m_Shard);
+    Changed = Changed || Busy != Own->m_Busy;
+    Own->m_Busy = std::move(Busy);
+    if (Own->m_Busy.empty())
+      Released.push_back(Claim.m_Shard);
+  }
+  for (const ShardId &Shard : Released) {
+    m_Log.info("shard_released", {{"shard", Shard.str()}});
+    m_Shards.lost(Shard);
+    Changed = true;
+  }
+  reconcile();
+  updateRouter();
+  if (Changed)
+    sendStatus();
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::claim(const ShardId &Shard) {
+  auto Clock = static_cast<std::uint64_t>(EventLoop::wallMilliseconds());
+  std::uint64_t Token =
+      std::max(Clock, m_Shards.highestToken() / nodetimes::TokensPerMs + 1) *
+          nodetimes::TokensPerMs +
+      std::hash<std::string>{}(m_Settings.m_Name) % nodetimes::TokensPerMs;
+  m_Shards.claimed(Shard, Token);
+  m_Log.info("shard_claimed", {{"shard", Shard.str()},
+                               {"token", Token},
+                               {"peers", m_Links.linksUp()},
+                               {"workers", m_Workers.size()}});
+}
+
+template <WorkerTransport Transport> void Node<Transport>::reconcile() {
+  std::map<std::string, HeldWorker> Wanted;
+  for (const ShardClaim &Claim : m_Shards.ownClaims()) {
+    if (Claim.m_Releasing)
+      continue;
+    std::set<std::string> Busy = m_Shards.busyElsewhere(Claim.m_Shard);
+    for (const auto &[Id, Spec] : m_Workers)
+      if (m_Shards.shardOf(Id, Spec.m_DataCentre) == Claim.m_Shard &&
+          !Busy.contains(Id))
+        Wanted[Id] = {Spec, Claim.m_Shard, Claim.m_Token};
+  }
+  m_Host.reconcile(Wanted);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onFenced(const ShardId &Shard) {
+  if (!m_Shards.ownClaim(Shard))
+    return;
+  m_FencePauseMs = std::clamp(2 * m_FencePauseMs, nodetimes::MinFencePauseMs,
+                              nodetimes::MaxFencePauseMs);
+  m_Log.warning("shard_fenced",
+                {{"shard", Shard.str()}, {"pause_ms", m_FencePauseMs}});
+  m_ClaimNotBefore = addMs(EventLoop::now(), m_FencePauseMs);
+  m_Shards.lost(Shard);
+  m_Host.dropShard(Shard);
+  updateOwnership();
+  sendStatus();
+}
+
+template <WorkerTransport Transport> void Node<Transport>::updateRouter() {
+  std::set<std::string> Owners;
+  for (const std::string &Name : m_Shards.owners()) {
+    Owners.insert(Name);
+    m_Router.ownerUp(Name, m_Shards.nodes().at(Name).m_DataCentre);
+  }
+  for (const auto &[Name, Other] : m_Shards.nodes())
+    if (!Owners.contains(Name) || Other.m_Draining)
+      m_Router.ownerClosed(Name);
+  const auto &Own = m_Shards.ownClaims();
+  bool Takes = !m_Draining &&
+               std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
+                 return !Claim.m_Releasing;
+               });
+  if (Takes)
+    m_Router.ownerUp(m_Settings.m_Name, m_Settings.m_DataCentre);
+  else
+    m_Router.ownerClosed(m_Settings.m_Name);
+}
+
+template <WorkerTransport Transport>
+NodeStatus Node<Transport>::status() const {
+  NodeStatus Result;
+  Result.m_Draining = m_Draining;
+  Result.m_Claims = m_Shards.ownClaims();
+  Result.m_FreeSlots = m_Host.freeSlots();
+  Result.m_WaitingTasks = m_Host.waitingTasks();
+  for (const auto &[Name, Item] : m_Documents)
+    Result.m_Documents[Name] = Item.m_Version;
+  return Result;
+}
+
+template <WorkerTransport Transport> void Node<Transport>::sendStatus() {
+  m_StatusTimer.reset();
+  m_StatusSent = EventLoop::now();
+  NodeStatus Now = status();
+  m_SentFree = Now.m_FreeSlots;
+  m_Router.ownerLoad(m_Settings.m_Name, Now.m_FreeSlots, Now.m_WaitingTasks);
+  m_Links.broadcast(Now);
+}
+
+template <WorkerTransport Transport> void Node<Transport>::sendStatusSoon() {
+  if (!m_StatusTimer)
+    m_StatusTimer = m_Loop.once(nodetimes::LoadUpdate, [this] { sendStatus(); });
+}
+
+template <WorkerTransport Transport> void Node<Transport>::onHostChanged() {
+  m_Router.ownerLoad(m_Settings.m_Name, m_Host.freeSlots(),
+                     m_Host.waitingTasks());
+  const auto &Own = m_Shards.ownClaims();
+  bool Releasing = std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
+    return Claim.m_Releasing;
+  });
+  if (Releasing)
+    m_Loop.post([this] { updateOwnership(); });
+  std::uint64_t Free = m_Host.freeSlots();
+  if (Free != m_SentFree)
+    sendStatusSoon();
+}
+
+// Stopping.
+
+template <WorkerTransport Transport> void Node<Transport>::drain() {
+  m_Draining = true;
+  m_Shards.setDraining();
+  updateOwnership();
+  sendStatus();
+}
+
+template <WorkerTransport Transport> bool Node<Transport>::drained() const {
+  return m_Router.calls() == 0 && m_Host.jobs() == 0 &&
+         m_Shards.ownClaims().empty();
+}
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Node/QueueTable.h
@@ -0,0 +1,33 @@
+#ifndef AUBURNHUB_NODE_QUEUETABLE_H
+#define AUBURNHUB_NODE_QUEUETABLE_H
+
+#include "auburnhub/Jobs/Job.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburnhub {
+
+/// A queue and the calls that select it.
+struct QueueEntry {
+  QueuePolicy m_Policy;
+  std::string m_Host;
+  std::string m_PathPrefix;
+  double m_TimeoutMs = 0; ///< Most that a caller of the queue waits.
+};
+
+/// The queues of one version of the configuration.
+struct QueueTable {
+  std::uint64_t m_Version = 0;
+  std::vector<QueueEntry> m_Queues;
+
+  /// Returns the queue of this host whose prefix is the longest that the path
+  /// begins with; null if there is none.
+  const QueueEntry *find(std::string_view Host, std::string_view Path) const;
+};
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -0,0 +1,307 @@
+#ifndef AUBURNHUB_NODE_SHARDHOSTIMPL_H
+#define AUBURNHUB_NODE_SHARDHOSTIMPL_H
+
+#include "auburnhub/Node/ShardHost.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+namespace auburnhub {
+
+template <WorkerTransport Transport>
+ShardHost<Transport>::ShardHost(EventLoop &Loop, Transport &Orders,
+                                StateChart Chart,
+                                const WorkerSessionSettings &Settings,
+                                JobParameters Parameters,
+                                MetricsRegistry &Metrics,
+                                ShardHostEvents Events)
+    : m_Loop(Loop), m_Orders(Orders), m_Chart(std::move(Chart)),
+      m_Settings(Settings), m_Events(std::move(Events)),
+      m_Scheduler(Parameters),
+      m_Starts(Metrics.counter("auburnhub_runs_started_total",
+                               "Orders to start a task")),
+      m_Refusals(Metrics.counter("auburnhub_runs_refused_total",
+                                 "Orders that a worker refused")),
+      m_Failures(Metrics.counter("auburnhub_runs_not_done_total",
+                                 "Runs that ended other than done")),
+      m_StartLatency(Metrics.latency("auburnhub_job_wait_seconds",
+                                     "From receipt of a job to each start")),
+      m_RunTime(Metrics.latency("auburnhub_run_seconds",
+                                "From the order to the end of a run")) {}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::reconcile(
+    const std::map<std::string, HeldWorker> &Wanted) {
+  for (auto &[Id, Item] : m_Held) {
+    auto Found = Wanted.find(Id);
+    bool Keep = Found != Wanted.end() &&
+                Found->second.m_Token == Item.m_Worker.m_Token;
+    if (Keep && Found->second.m_Spec != Item.m_Worker.m_Spec) {
+      Item.m_Worker.m_Spec = Found->second.m_Spec;
+      Item.m_Session->update(Found->second.m_Spec);
+      m_Scheduler.putWorker(EventLoop::now(), Found->second.m_Spec);
+    }
+    if (Keep != Item.m_Wanted) {
+      Item.m_Wanted = Keep;
+      setReachable(Id, Item.m_Session->reachable());
+    }
+  }
+  for (const auto &[Id, Item] : Wanted) {
+    auto Found = m_Held.find(Id);
+    if (Found != m_Held.end() &&
+        Found->second.m_Worker.m_Token != Item.m_Token &&
+        Found->second.m_Session->idle())
+      drop(Id);
+    if (!m_Held.contains(Id))
+      open(Item);
+  }
+  letIdleGo();
+  schedulePump();
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::open(const HeldWorker &Wanted) {
+  const std::string &Id = Wanted.m_Spec.m_Id;
+  Held &Added = m_Held[Id];
+  Added.m_Worker = Wanted;
+  m_Scheduler.putWorker(EventLoop::now(), Wanted.m_Spec);
+  Added.m_Session = std::make_unique<Session>(
+      m_Loop, m_Orders, m_Chart, m_Settings, Wanted.m_Spec, Wanted.m_Token,
+      sessionEvents(Id, Wanted.m_Shard));
+  Added.m_Session->begin();
+}
+
+template <WorkerTransport Transport>
+WorkerSessionEvents
+ShardHost<Transport>::sessionEvents(const std::string &Worker,
+                                    const ShardId &Shard) {
+  WorkerSessionEvents Events;
+  Events.m_Reachable = [this, Worker](bool Reachable) {
+    setReachable(Worker, Reachable);
+  };
+  Events.m_Accepted = [this](RunId Run) {
+    m_Scheduler.runAccepted(EventLoop::now(), Run);
+    schedulePump();
+  };
+  Events.m_Refused = [this](RunId Run, RefusalReason Why) {
+    static constexpr std::array<std::string_view, 6> Names = {
+        "no_room",   "number_used", "expired",
+        "unhealthy", "unreachable", "invalid"};
+    m_Refusals.add();
+    m_Log.info("run_refused",
+               {{"job", m_Runs[Run].m_Task},
+                {"worker", m_Runs[Run].m_Worker},
+                {"reason", Names[static_cast<std::size_t>(Why)]}});
+    m_Runs.erase(Run);
+    m_Scheduler.runRefused(EventLoop::now(), Run, Why);
+    schedulePump();
+  };
+  Events.m_Ended = [this](RunId Run, RunEnd How) {
+    logEnd(Run, How);
+    m_Scheduler.runEnded(EventLoop::now(), Run, How);
+    schedulePump();
+  };
+  Events.m_Progress = [this](RunId Run, double Percent) {
+    m_Scheduler.runProgress(EventLoop::now(), Run, Percent);
+    m_Runs[Run].m_Percent = Percent;
+  };
+  Events.m_Fenced = [this, Shard] {
+    // The session that calls is dropped by what follows.
+    m_Loop.post([this, Shard] { m_Events.m_Fenced(Shard); });
+  };
+  return Events;
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::logEnd(RunId Run, RunEnd How) {
+  auto Found = m_Runs.find(Run);
+  if (Found == m_Runs.end())
+    return;
+  double Took = millisecondsBetween(Found->second.m_Ordered, EventLoop::now());
+  m_RunTime.add(Took / 1000);
+  if (How != RunEnd::Done)
+    m_Failures.add();
+  m_Log.info("run_ended", {{"task", Found->second.m_Task},
+                           {"worker", Found->second.m_Worker},
+                           {"how", runEndName(How)},
+                           {"took_ms", std::round(Took)},
+                           {"expected_ms", std::round(Found->second.m_ExpectedMs)},
+                           {"last_percent", Found->second.m_Percent}});
+  m_Runs.erase(Found);
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::setReachable(const std::string &Worker,
+                                        bool Reachable) {
+  auto Found = m_Held.find(Worker);
+  bool Usable = Reachable && Found != m_Held.end() && Found->second.m_Wanted;
+  m_Scheduler.setReachable(EventLoop::now(), Worker, Usable);
+  schedulePump();
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::drop(const std::string &Worker) {
+  auto Found = m_Held.find(Worker);
+  if (Found == m_Held.end())
+    return;
+  for (RunId Run : Found->second.m_Session->runs()) {
+    m_Runs.erase(Run);
+    m_Scheduler.runAbandoned(EventLoop::now(), Run);
+  }
+  Found->second.m_Session->abandon();
+  m_Held.erase(Found);
+  m_Scheduler.removeWorker(Worker);
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::dropShard(const ShardId &Shard) {
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Item] : m_Held)
+    if (Item.m_Worker.m_Shard == Shard)
+      Gone.push_back(Id);
+  for (const std::string &Id : Gone)
+    drop(Id);
+  schedulePump();
+}
+
+template <WorkerTransport Transport> void ShardHost<Transport>::letIdleGo() {
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Item] : m_Held)
+    if (!Item.m_Wanted && Item.m_Session->idle())
+      Gone.push_back(Id);
+  for (const std::string &Id : Gone)
+    drop(Id);
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::submit(JobRequest Request) {
+  m_Scheduler.submit(EventLoop::now(), std::move(Request));
+  pump();
+}
+
+template <WorkerTransport Transport>
+bool ShardHost<Transport>::cancel(const std::string &Job) {
+  bool Known = m_Scheduler.cancel(EventLoop::now(), Job);
+  if (Known)
+    schedulePump();
+  return Known;
+}
+
+template <WorkerTransport Transport>
+std::vector<std::string>
+ShardHost<Transport>::busyWorkers(const ShardId &Shard) const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Item] : m_Held)
+    if (Item.m_Worker.m_Shard == Shard && !Item.m_Session->idle())
+      Result.push_back(Id);
+  return Result;
+}
+
+template <WorkerTransport Transport>
+bool ShardHost<Transport>::answered(const std::string &Worker,
+                                    TimePoint Since) const {
+  auto Found = m_Held.find(Worker);
+  return Found != m_Held.end() && Found->second.m_Session->reachable() &&
+         Found->second.m_Session->lastAnswer() >= Since;
+}
+
+template <WorkerTransport Transport>
+std::size_t ShardHost<Transport>::freeSlots() const {
+  return m_Scheduler.freeSlots(EventLoop::now());
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::schedulePump() {
+  if (std::exchange(m_PumpPosted, true))
+    return;
+  m_Loop.post([this] {
+    m_PumpPosted = false;
+    pump();
+  });
+}
+
+template <WorkerTransport Transport> void ShardHost<Transport>::pump() {
+  std::vector<JobEffect> Effects = m_Scheduler.takeEffects();
+  for (const JobEffect &Effect : Effects)
+    std::visit([this](const auto &Order) { carryOut(Order); }, Effect);
+  letIdleGo();
+  armTimer();
+  m_Events.m_Changed();
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::carryOut(const StartRun &Order) {
+  auto Found = m_Held.find(Order.m_Worker);
+  if (Found == m_Held.end()) {
+    m_Scheduler.runRefused(EventLoop::now(), Order.m_Run,
+                           RefusalReason::Unreachable);
+    schedulePump();
+    return;
+  }
+  m_Starts.add();
+  m_StartLatency.add(Order.m_WaitedMs / 1000);
+  m_Runs[Order.m_Run] = {Order.m_Worker, Order.m_Task.str(), EventLoop::now(),
+                         Order.m_ExpectedMs, 0};
+  m_Log.info("run_ordered",
+             {{"job", Order.m_Task.m_Job},
+              {"task", Order.m_Task.str()},
+              {"run", Order.m_Number},
+              {"worker", Order.m_Worker},
+              {"token", Found->second.m_Worker.m_Token},
+              {"candidates", Order.m_Candidates},
+              {"expected_ms", std::round(Order.m_ExpectedMs)},
+              {"waited_ms", std::round(Order.m_WaitedMs)}});
+  Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
+                                 Order.m_Spec, Order.m_ExpectedMs);
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::carryOut(const StopRun &Order) {
+  auto Note = m_Runs.find(Order.m_Run);
+  if (Note == m_Runs.end())
+    return;
+  auto Found = m_Held.find(Note->second.m_Worker);
+  if (Found == m_Held.end())
+    return;
+  m_Log.info("run_stop", {{"task", Note->second.m_Task},
+                          {"worker", Note->second.m_Worker},
+                          {"reason", jobReasonName(Order.m_Why)},
+                          {"last_percent", Note->second.m_Percent}});
+  Found->second.m_Session->stop(Order.m_Run);
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::carryOut(const JobOver &Over) {
+  m_Log.info("job_over",
+             {{"job", Over.m_Job},
+              {"outcome", jobOutcomeName(Over.m_Result.m_Outcome)},
+              {"reason", jobReasonName(Over.m_Result.m_Reason)},
+              {"took_ms", std::round(Over.m_TookMs)},
+              {"waited_ms", std::round(Over.m_WaitedMs)},
+              {"objective_ms", std::round(Over.m_ObjectiveMs)},
+              {"runs", Over.m_Runs},
+              {"free_slots", freeSlots()},
+              {"waiting_tasks", waitingTasks()}});
+  m_Events.m_JobOver(Over);
+}
+
+template <WorkerTransport Transport> void ShardHost<Transport>::armTimer() {
+  TimePoint Now = EventLoop::now();
+  std::optional<TimePoint> Next = m_Scheduler.nextDeadline(Now);
+  if (!Next || (m_ArmedFor && *m_ArmedFor <= *Next))
+    return;
+  m_ArmedFor = Next;
+  auto Delay = std::chrono::ceil<EventLoop::Duration>(*Next - Now);
+  m_Timer = m_Loop.once(Delay, [this] {
+    m_ArmedFor.reset();
+    m_Scheduler.advance(EventLoop::now());
+    pump();
+  });
+}
+
+} // namespace auburnhub
+
+#endif
--- a/include/auburnhub/Wire/Transport.h
+++ b/include/auburnhub/Wire/Transport.h
@@ -9,6 +9,10 @@
 #include <memory>
 #include <string>
 
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
 namespace auburnhub {
 
 /// Names one connection of a Transport; never used twice.
@@ -40,6 +44,11 @@
 public:
   /// Messages over MaxMessageBytes close the connection that sent them.
   Transport(std::size_t MaxMessageBytes, TransportEvents Events);
+
+  /// The same without a thread: everything happens on the loop given, which
+  /// must outlive the transport, and all functions are called on its thread.
+  Transport(std::size_t MaxMessageBytes, TransportEvents Events,
+            boost::asio::io_context &Loop);
   ~Transport();
   Transport(const Transport &) = delete;
   Transport &operator=(const Transport &) = delete;
@@ -59,6 +68,13 @@
   /// Closes one connection.
   void close(ConnectionId Connection);
 
+  /// Closes a connection without a handshake, and tells nobody. For a peer
+  /// that does not answer any more.
+  void abandon(ConnectionId Connection);
+
+  /// Returns the bytes queued on a connection; only on the loop's thread.
+  std::size_t queuedBytes(ConnectionId Connection) const;
+
   /// Writes what is queued, for a second at most, then closes everything and
   /// ends the thread; no event follows.
   void stop();
