Platform: Answer every caller before a stop ends the process

Tests run real nodes against stand-ins of the store and of executors; AnswersWhatItCannotFinish failed before.

--- a/Source/Node/JobRouter.cpp
+++ b/Source/Node/JobRouter.cpp
@@ -206,6 +206,18 @@
   finish(Id, {JobOutcome::GivenUp, JobReason::Cancelled, 0});
 }
 
+void JobRouter::giveUpAll() {
+  while (!m_Calls.empty()) {
+    auto First = m_Calls.begin();
+    bool Routed = !First->second.m_Owner.empty();
+    if (Routed)
+      m_Effects.m_Cancel(First->second.m_Owner, First->second.m_Job.m_Id);
+    finish(First->first,
+           {Routed ? JobOutcome::GivenUp : JobOutcome::NotRun,
+            JobReason::Stopping, RetryAfterMs});
+  }
+}
+
 void JobRouter::finish(std::uint64_t Id, const JobResult &Result) {
   Call Item = std::move(m_Calls.at(Id));
   m_Calls.erase(Id);
--- /dev/null
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -0,0 +1,206 @@
+#include "FakeExecutor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnhub::platform {
+namespace {
+
+constexpr std::int64_t LongestLeaseMs = 1000;
+
+HttpResponse jsonResponse(int Status, const nlohmann::json &Body) {
+  HttpResponse Response;
+  Response.m_Status = Status;
+  Response.m_Body = Body.dump();
+  return Response;
+}
+
+} // namespace
+
+FakeExecutor::FakeExecutor(EventLoop &Loop, std::string Id)
+    : m_Loop(Loop), m_Id(std::move(Id)),
+      m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }),
+      m_Born(EventLoop::now()) {}
+
+std::string FakeExecutor::registration(const std::string &Service,
+                                       const std::string &Zone,
+                                       const std::string &State) const {
+  nlohmann::json Entry = {
+      {"service", Service},
+      {"address", address()},
+      {"zone", Zone},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", State},
+      {"cold_remaining_ms", 0},
+      {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}},
+      {"labels", {"a", "r1-3"}},
+      {"sequence", 4}};
+  return Entry.dump();
+}
+
+std::size_t FakeExecutor::starts() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Journal.begin(), m_Journal.end(),
+                    [](const Event &E) { return E.m_What == "start"; }));
+}
+
+std::int64_t FakeExecutor::clock() const {
+  return static_cast<std::int64_t>(
+      millisecondsBetween(m_Born, EventLoop::now()));
+}
+
+void FakeExecutor::conflict(const HttpExchange &Exchange,
+                            const std::string &Why) const {
+  Exchange.respond(
+      jsonResponse(409, {{"clock_ms", clock()}, {"reason", Why}}));
+}
+
+void FakeExecutor::onCall(const HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  auto Body = nlohmann::json::parse(Request.m_Body, nullptr, false);
+  if (!Body.is_object()) {
+    Exchange.respond(jsonResponse(400, nlohmann::json::object()));
+    return;
+  }
+  if (Request.m_Headers.get("X-Expected-Instance") != m_Id) {
+    Exchange.respond(jsonResponse(421, nlohmann::json::object()));
+    return;
+  }
+  if (Request.m_Path == "/run-start" && m_Behaviour.m_LateStarts > 0) {
+    --m_Behaviour.m_LateStarts;
+    m_Unanswered.push_back(Exchange);
+    m_Late.push_back(m_Loop.once(m_Behaviour.m_LateBy, [this, Exchange, Body] {
+      if (Body.value("fencing_token", std::uint64_t{0}) >= m_Token)
+        onStart(Exchange, Body);
+    }));
+    return;
+  }
+  std::uint64_t Token = Body.value("fencing_token", std::uint64_t{0});
+  if (Token < m_Token) {
+    conflict(Exchange, "fence");
+    return;
+  }
+  m_Token = Token;
+  if (Request.m_Path == "/run-start")
+    onStart(Exchange, Body);
+  else if (Request.m_Path == "/run-stop")
+    onStop(Exchange, Body);
+  else if (Request.m_Path == "/hold")
+    onRenew(Exchange, Body);
+  else
+    Exchange.respond(jsonResponse(404, nlohmann::json::object()));
+}
+
+void FakeExecutor::extendLease(const nlohmann::json &Body) {
+  if (!Body.contains("until_ms"))
+    return;
+  std::int64_t Until =
+      std::min(Body["until_ms"].get<std::int64_t>(), clock() + LongestLeaseMs);
+  m_LeaseUntil = std::max(m_LeaseUntil, Until);
+  auto Left = EventLoop::Duration(
+      std::max<std::int64_t>(0, m_LeaseUntil - clock()));
+  m_LeaseTimer = m_Loop.once(Left, [this] {
+    std::vector<std::string> All;
+    for (const auto &[Task, Item] : m_Running)
+      All.push_back(Task);
+    for (const std::string &Task : All)
+      end(Task, "lapsed");
+  });
+}
+
+void FakeExecutor::onStart(const HttpExchange &Exchange,
+                           const nlohmann::json &Body) {
+  std::string Task = Body["task"];
+  auto Run = Body["run"].get<std::uint32_t>();
+  auto Known = m_Running.find(Task);
+  if (Known != m_Running.end() && Known->second.m_Run == Run) {
+    Exchange.respond(jsonResponse(200, {{"clock_ms", clock()}}));
+    return;
+  }
+  if (Body["until_ms"].get<std::int64_t>() <= clock()) {
+    conflict(Exchange, "late");
+    return;
+  }
+  if (Run <= m_HighestRun[Task] || Known != m_Running.end()) {
+    conflict(Exchange, "old");
+    return;
+  }
+  Running &Added = m_Running[Task];
+  Added.m_Run = Run;
+  Added.m_Started = EventLoop::now();
+  m_Journal.push_back({Task, Run, "start", EventLoop::now()});
+  if (!m_Behaviour.m_Hangs)
+    Added.m_Timer = m_Loop.once(m_Behaviour.m_RunTime, [this, Task] {
+      end(Task, m_Behaviour.m_Fails ? "failed" : "done");
+    });
+  extendLease(Body);
+  Exchange.respond(jsonResponse(200, {{"clock_ms", clock()}}));
+}
+
+void FakeExecutor::onStop(const HttpExchange &Exchange,
+                          const nlohmann::json &Body) {
+  std::string Task = Body["task"];
+  auto Run = Body["run"].get<std::uint32_t>();
+  m_HighestRun[Task] = std::max(m_HighestRun[Task], Run);
+  auto Found = m_Running.find(Task);
+  if (Found != m_Running.end() && Found->second.m_Run <= Run)
+    end(Task, "stopped");
+  Exchange.respond(jsonResponse(200, {{"clock_ms", clock()}}));
+}
+
+void FakeExecutor::end(const std::string &Task, const std::string &How) {
+  auto Found = m_Running.find(Task);
+  if (Found == m_Running.end())
+    return;
+  std::uint32_t Run = Found->second.m_Run;
+  m_Running.erase(Found);
+  m_HighestRun[Task] = std::max(m_HighestRun[Task], Run);
+  m_Ended.push_back({++m_LastSequence, Task, Run, How});
+  m_Journal.push_back({Task, Run, How, EventLoop::now()});
+  answerRenewals();
+}
+
+nlohmann::json FakeExecutor::lists() const {
+  nlohmann::json Running = nlohmann::json::array();
+  TimePoint Now = EventLoop::now();
+  for (const auto &[Task, Item] : m_Running) {
+    double Share = millisecondsBetween(Item.m_Started, Now) /
+                   static_cast<double>(m_Behaviour.m_RunTime.count());
+    int Percent =
+        m_Behaviour.m_Hangs ? 0 : static_cast<int>(std::min(99.0, 100 * Share));
+    Running.push_back({Task, Item.m_Run, "", Percent});
+  }
+  nlohmann::json Finished = nlohmann::json::array();
+  for (const Ended &Item : m_Ended)
+    Finished.push_back(
+        {Item.m_Sequence, Item.m_Task, Item.m_Run, Item.m_How, ""});
+  return {{"clock_ms", clock()},
+          {"born", 1000},
+          {"running", Running},
+          {"finished", Finished}};
+}
+
+void FakeExecutor::onRenew(const HttpExchange &Exchange,
+                           const nlohmann::json &Body) {
+  auto Seen = Body.value("last_seen", std::uint64_t{0});
+  std::erase_if(m_Ended,
+                [&](const Ended &Item) { return Item.m_Sequence <= Seen; });
+  extendLease(Body);
+  int Wait = Body.value("wait_ms", 0);
+  if (Wait == 0 || !m_Ended.empty()) {
+    Exchange.respond(jsonResponse(200, lists()));
+    return;
+  }
+  m_Renewals.emplace_back(Exchange,
+                          m_Loop.once(EventLoop::Duration(Wait),
+                                      [this] { answerRenewals(); }));
+}
+
+void FakeExecutor::answerRenewals() {
+  auto Waiting = std::exchange(m_Renewals, {});
+  for (const auto &[Exchange, Timer] : Waiting)
+    Exchange.respond(jsonResponse(200, lists()));
+}
+
+} // namespace auburnhub::platform
--- /dev/null
+++ b/Tests/Platform/FakeExecutor.h
@@ -0,0 +1,97 @@
+#ifndef AUBURNHUB_TESTS_PLATFORM_FAKEEXECUTOR_H
+#define AUBURNHUB_TESTS_PLATFORM_FAKEEXECUTOR_H
+
+#include "auburnhub/Net/LoopHttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace auburnhub::platform {
+
+/// Stands in for one executor: runs tasks under a lease and a fencing token,
+/// and keeps a journal of every start and end.
+class FakeExecutor {
+public:
+  struct Behaviour {
+    EventLoop::Duration m_RunTime{20};
+    bool m_Hangs = false; ///< Runs make no progress and never end.
+    bool m_Fails = false; ///< Every run ends failed.
+    /// So many of the next starts get no answer and are carried out late.
+    int m_LateStarts = 0;
+    EventLoop::Duration m_LateBy{1500};
+  };
+
+  /// An entry of the journal.
+  struct Event {
+    std::string m_Task;
+    std::uint32_t m_Run = 0;
+    std::string m_What; ///< "start" or how the run ended.
+    TimePoint m_At;
+  };
+
+  FakeExecutor(EventLoop &Loop, std::string Id);
+
+  absl::Status listen(const Address &Where) { return m_Server.listen(Where); }
+  std::string address() const {
+    return Address{"127.0.0.1", m_Server.port()}.str();
+  }
+  const std::string &id() const { return m_Id; }
+  /// Returns the registration as the executor writes it.
+  std::string registration(const std::string &Service, const std::string &Zone,
+                           const std::string &State) const;
+
+  Behaviour &behaviour() { return m_Behaviour; }
+  const std::vector<Event> &journal() const { return m_Journal; }
+  std::size_t running() const { return m_Running.size(); }
+  std::size_t starts() const;
+  std::size_t unacknowledgedEnds() const { return m_Ended.size(); }
+
+private:
+  struct Running {
+    std::uint32_t m_Run = 0;
+    TimePoint m_Started;
+    EventLoop::Timer m_Timer;
+  };
+  struct Ended {
+    std::uint64_t m_Sequence;
+    std::string m_Task;
+    std::uint32_t m_Run;
+    std::string m_How;
+  };
+
+  void onCall(const HttpExchange &Exchange);
+  void onStart(const HttpExchange &Exchange, const nlohmann::json &Body);
+  void onStop(const HttpExchange &Exchange, const nlohmann::json &Body);
+  void onRenew(const HttpExchange &Exchange, const nlohmann::json &Body);
+  void end(const std::string &Task, const std::string &How);
+  void extendLease(const nlohmann::json &Body);
+  void answerRenewals();
+  nlohmann::json lists() const;
+  std::int64_t clock() const;
+  void conflict(const HttpExchange &Exchange, const std::string &Why) const;
+
+  EventLoop &m_Loop;
+  std::string m_Id;
+  LoopHttpServer m_Server;
+  Behaviour m_Behaviour;
+  TimePoint m_Born;
+  std::uint64_t m_Token = 0;
+  std::map<std::string, Running> m_Running;
+  std::map<std::string, std::uint32_t> m_HighestRun; ///< Stopped or ended.
+  std::vector<Ended> m_Ended;
+  std::uint64_t m_LastSequence = 0;
+  std::int64_t m_LeaseUntil = 0;
+  EventLoop::Timer m_LeaseTimer;
+  std::vector<std::pair<HttpExchange, EventLoop::Timer>> m_Renewals;
+  std::vector<EventLoop::Timer> m_Late;
+  std::vector<HttpExchange> m_Unanswered;
+  std::vector<Event> m_Journal;
+};
+
+} // namespace auburnhub::platform
+
+#endif
--- /dev/null
+++ b/Tests/Platform/FakeStore.cpp
@@ -0,0 +1,153 @@
+#include "FakeStore.h"
+
+#include "StoreClient.h"
+
+#include "absl/strings/escaping.h"
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace auburnhub::platform {
+namespace {
+
+constexpr std::size_t OffsetBytes = 8;
+
+std::string bigEndian(std::uint64_t Value) {
+  std::string Result(OffsetBytes, '\0');
+  for (std::size_t I = 0; I < OffsetBytes; ++I)
+    Result[OffsetBytes - 1 - I] = static_cast<char>((Value >> (8 * I)) & 0xffU);
+  return Result;
+}
+
+HttpResponse status(int Code, std::string Body = "{}") {
+  HttpResponse Response;
+  Response.m_Status = Code;
+  Response.m_Body = std::move(Body);
+  return Response;
+}
+
+} // namespace
+
+FakeStore::FakeStore(EventLoop &Loop)
+    : m_Loop(Loop), m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }) {
+}
+
+void FakeStore::put(const std::string &Name, const std::string &Key,
+                    std::optional<std::string> Value) {
+  Topic &To = m_Topics[Name];
+  if (Value)
+    To.m_Newest[Key] = *Value;
+  else
+    To.m_Newest.erase(Key);
+  To.m_Log.push_back({Key, std::move(Value)});
+  wake(Name);
+}
+
+void FakeStore::trim(const std::string &Name) {
+  Topic &Of = m_Topics[Name];
+  Of.m_First = Of.m_Log.size();
+  wake(Name);
+}
+
+std::optional<std::string> FakeStore::value(const std::string &Name,
+                                            const std::string &Key) const {
+  auto Found = m_Topics.find(Name);
+  if (Found == m_Topics.end() || !Found->second.m_Newest.contains(Key))
+    return std::nullopt;
+  return Found->second.m_Newest.at(Key);
+}
+
+void FakeStore::onCall(const HttpExchange &Exchange) {
+  ++m_Calls;
+  if (m_Mood == Mood::Refusing) {
+    Exchange.respond(status(503));
+    return;
+  }
+  if (m_Mood == Mood::Silent) {
+    m_Unanswered.push_back(Exchange);
+    return;
+  }
+  const HttpRequest &Request = Exchange.request();
+  std::string Name(Request.query("topic"));
+  std::string_view Path = Request.m_Path;
+  if (Path.starts_with("/log-append"))
+    append(Exchange, Name);
+  else if (Path.starts_with("/log-newest"))
+    readNewest(Exchange, Name);
+  else if (Path.starts_with("/log-read"))
+    readFrom(Exchange, Name);
+  else
+    Exchange.respond(status(404));
+}
+
+void FakeStore::append(const HttpExchange &Exchange, const std::string &Name) {
+  // A read's answer begins with two offsets; the records look the same.
+  std::string Body = bigEndian(0) + bigEndian(0) + Exchange.request().m_Body;
+  auto Batch = decodeLogBody(Body, 0);
+  if (!Batch.ok()) {
+    Exchange.respond(status(400));
+    return;
+  }
+  for (const KeyedRecord &Item : Batch->m_Records)
+    put(Name, Item.m_Key, Item.m_Value);
+  Exchange.respond(status(200, R"({"offset":0,"end":1})"));
+}
+
+void FakeStore::readNewest(const HttpExchange &Exchange,
+                           const std::string &Name) {
+  const Topic &Of = m_Topics[Name];
+  nlohmann::json Items = nlohmann::json::array();
+  for (const auto &[Key, Value] : Of.m_Newest)
+    Items.push_back({{"key", Key},
+                     {"value", std::string(absl::Base64Escape(Value))},
+                     {"offset", 0}});
+  nlohmann::json Body = {
+      {"items", Items}, {"has_more", false}, {"end", Of.m_Log.size()}};
+  Exchange.respond(status(200, Body.dump()));
+}
+
+HttpResponse FakeStore::batch(const Topic &Of, std::uint64_t From) const {
+  if (From < Of.m_First)
+    return status(410, R"({"first":0})");
+  std::string Body = bigEndian(Of.m_Log.size()) + bigEndian(Of.m_First);
+  for (std::size_t I = From; I < Of.m_Log.size(); ++I)
+    Body += encodeKeyedRecord(Of.m_Log[I].m_Key,
+                              Of.m_Log[I].m_Value.value_or(""));
+  return status(200, Body);
+}
+
+void FakeStore::readFrom(const HttpExchange &Exchange,
+                         const std::string &Name) {
+  const HttpRequest &Request = Exchange.request();
+  std::uint64_t From = std::stoull(std::string(Request.query("from")));
+  std::string Wait(Request.query("wait_ms"));
+  const Topic &Of = m_Topics[Name];
+  if (Wait.empty() || From != Of.m_Log.size()) {
+    Exchange.respond(batch(Of, From));
+    return;
+  }
+  std::uint64_t Id = ++m_LastWaiting;
+  auto Timer = m_Loop.once(EventLoop::Duration(std::stoi(Wait)), [this, Id] {
+    auto Node = m_Waiting.extract(Id);
+    if (!Node.empty())
+      Node.mapped().m_Exchange.respond(
+          batch(m_Topics[Node.mapped().m_Topic], Node.mapped().m_From));
+  });
+  m_Waiting.emplace(Id, Waiting{Exchange, Name, From, std::move(Timer)});
+}
+
+void FakeStore::wake(const std::string &Name) {
+  std::vector<Waiting> Ready;
+  for (auto It = m_Waiting.begin(); It != m_Waiting.end();) {
+    auto Next = std::next(It);
+    if (It->second.m_Topic == Name) {
+      Ready.push_back(std::move(It->second));
+      m_Waiting.erase(It);
+    }
+    It = Next;
+  }
+  for (const Waiting &Item : Ready)
+    Item.m_Exchange.respond(batch(m_Topics[Name], Item.m_From));
+}
+
+} // namespace auburnhub::platform
--- /dev/null
+++ b/Tests/Platform/Main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE Platform
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -0,0 +1,271 @@
+#include "PlatformCluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+using namespace auburnhub;
+using namespace auburnhub::platform;
+
+namespace {
+
+const std::string JobA = "00000000000000aa";
+const std::string JobB = "00000000000000bb";
+
+struct OneNode : PlatformCluster {
+  OneNode() {
+    addExecutor();
+    addExecutor();
+    addNode();
+    BOOST_REQUIRE(untilReady());
+  }
+};
+
+struct ThreeNodes : PlatformCluster {
+  ThreeNodes() {
+    for (int I = 0; I < 4; ++I)
+      addExecutor();
+    for (int I = 0; I < 3; ++I)
+      addNode();
+    BOOST_REQUIRE(untilReady());
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ANodeOnThePlatform)
+
+BOOST_AUTO_TEST_SUITE(ServesJobs)
+
+BOOST_FIXTURE_TEST_CASE(AndAnswersWhenEveryTaskIsDone, OneNode) {
+  auto Reply = submit(0, JobA, 3);
+  BOOST_TEST(until([&] { return Reply->m_Answer.has_value(); }));
+  BOOST_TEST(Reply->has(200));
+  BOOST_TEST((*Reply->m_Answer)->m_Body == R"({"state":"completed"})");
+  BOOST_TEST(startsInAll() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AndAcknowledgesEveryEnd, OneNode) {
+  auto Reply = submit(0, JobA, 4);
+  BOOST_TEST(until([&] {
+    return Reply->has(200) && executor(0).unacknowledgedEnds() == 0 &&
+           executor(1).unacknowledgedEnds() == 0;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndSaysWhenATaskFailsAsOftenAsItMay, OneNode) {
+  executor(0).behaviour().m_Fails = true;
+  executor(1).behaviour().m_Fails = true;
+  auto Reply = submit(0, JobA, 1);
+  BOOST_TEST(until([&] { return Reply->m_Answer.has_value(); }));
+  BOOST_TEST(Reply->has(200));
+  BOOST_TEST((*Reply->m_Answer)->m_Body == R"({"state":"failed"})");
+  BOOST_TEST(startsInAll() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AndRefusesAMalformedOneAndLives, OneNode) {
+  auto Bad = call(0, "POST", Prefix + JobA, "{");
+  BOOST_TEST(until([&] { return Bad->has(400); }));
+  auto Good = submit(0, JobA, 1);
+  BOOST_TEST(until([&] { return Good->has(200); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndKnowsNoOtherQueue, OneNode) {
+  auto Reply = call(0, "POST", "/elsewhere/" + JobA, "{}");
+  BOOST_TEST(until([&] { return Reply->has(404); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndRefusesThoseItMustKeep, OneNode) {
+  auto Reply = call(0, "POST", Prefix + JobA,
+                    R"({"spec":"x","steps":[{"count":1,"cpu":1}]})");
+  BOOST_TEST(until([&] { return Reply->has(503); }));
+  BOOST_TEST((*Reply->m_Answer)->m_Headers.get("Retry-After") == "1");
+  BOOST_TEST(startsInAll() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AtAnyNode, ThreeNodes) {
+  std::vector<std::shared_ptr<Reply>> Replies;
+  for (std::size_t I = 0; I < 3; ++I)
+    Replies.push_back(submit(I, "00000000000000c" + std::to_string(I), 2));
+  for (const auto &Reply : Replies)
+    BOOST_TEST(until([&] { return Reply->has(200); }));
+  BOOST_TEST(startsInAll() == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(CancelsJobs)
+
+BOOST_FIXTURE_TEST_CASE(WhereverTheyRun, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Job = submit(0, JobA, 2);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 2; }));
+  auto Cancel = call(2, "DELETE", Prefix + JobA);
+  BOOST_TEST(until([&] { return Cancel->has(200) && Job->has(504); }));
+  BOOST_TEST(until([&] { return runningInAll() == 0; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndDoesNotKnowOthers, ThreeNodes) {
+  auto Cancel = call(1, "DELETE", Prefix + JobB);
+  BOOST_TEST(until([&] { return Cancel->has(410); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAnOrderIsNotAnswered)
+
+BOOST_FIXTURE_TEST_CASE(RunsNothingTwiceAtOnce, OneNode) {
+  executor(0).behaviour().m_LateStarts = 2;
+  executor(0).behaviour().m_LateBy = EventLoop::Duration(300);
+  executor(1).behaviour().m_LateStarts = 2;
+  executor(1).behaviour().m_LateBy = EventLoop::Duration(300);
+  executor(0).behaviour().m_RunTime = EventLoop::Duration(400);
+  executor(1).behaviour().m_RunTime = EventLoop::Duration(400);
+  auto Reply = submit(0, JobA, 2, 15000);
+  BOOST_TEST(until([&] { return Reply->m_Answer.has_value(); }));
+  BOOST_TEST(Reply->has(200));
+  BOOST_TEST(!anyOverlap());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAnOwnerDies)
+
+BOOST_FIXTURE_TEST_CASE(AnotherServesOn, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Lost = submit(1, JobA, 2);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 2; }));
+  // The first node is preferred: weights are equal and its name is lowest.
+  signal(0, SIGKILL);
+  BOOST_TEST(until([&] { return Lost->has(504); }));
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = false;
+  bool Served = false;
+  for (int Try = 0; Try < 100 && !Served; ++Try) {
+    auto Again = submit(1, "00000000000001" + std::to_string(10 + Try), 2);
+    BOOST_REQUIRE(until([&] { return Again->m_Answer.has_value(); }));
+    Served = Again->has(200);
+  }
+  BOOST_TEST(Served);
+  BOOST_TEST(!anyOverlap());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhileTheStoreIsAway)
+
+BOOST_FIXTURE_TEST_CASE(ServesOn, ThreeNodes) {
+  store().setMood(FakeStore::Mood::Refusing);
+  auto Reply = submit(2, JobA, 2);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ANewNodeLearnsFromItsPeers, ThreeNodes) {
+  store().setMood(FakeStore::Mood::Refusing);
+  addNode();
+  BOOST_TEST(untilReady());
+  auto Reply = submit(3, JobA, 2);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FollowsTheConfiguration)
+
+BOOST_FIXTURE_TEST_CASE(AndNeverGoesBack, OneNode) {
+  publishConfiguration(7, "/other/");
+  BOOST_TEST(until([&] {
+    auto Gone = call(0, "GET", Prefix);
+    until([&] { return Gone->m_Answer.has_value(); });
+    return Gone->has(404);
+  }));
+  publishConfiguration(3);
+  store().trim("keyed.op");
+  publishConfiguration(8, "/third/");
+  BOOST_TEST(until([&] {
+    auto Old = call(0, "GET", Prefix);
+    until([&] { return Old->m_Answer.has_value(); });
+    BOOST_REQUIRE(Old->has(404));
+    auto New = call(0, "GET", "/third/");
+    until([&] { return New->m_Answer.has_value(); });
+    return New->has(200);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenWorkersLeave)
+
+BOOST_FIXTURE_TEST_CASE(StartsNothingOnThem, OneNode) {
+  registerExecutor(executor(0), "draining");
+  registerExecutor(executor(1), "draining");
+  bool Refused = until([&] {
+    auto Reply = submit(0, JobA, 1);
+    until([&] { return Reply->m_Answer.has_value(); });
+    return Reply->has(503);
+  });
+  BOOST_TEST(Refused);
+}
+
+BOOST_FIXTURE_TEST_CASE(UsesALapsedEntryWhileTheWorkerAnswers, OneNode) {
+  executor(0).behaviour().m_RunTime = EventLoop::Duration(600);
+  auto Running = submit(0, JobA, 4);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 4; }));
+  store().put("keyed.servers", executor(0).id(), std::nullopt);
+  BOOST_TEST(until([&] { return Running->has(200); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAskedToStop)
+
+BOOST_FIXTURE_TEST_CASE(FinishesWhatRuns, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_RunTime = EventLoop::Duration(500);
+  auto AtOwner = submit(0, JobA, 2);
+  auto Elsewhere = submit(1, JobB, 2);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 4; }));
+  signal(0, SIGTERM);
+  BOOST_TEST(until([&] { return AtOwner->has(200) && Elsewhere->has(200); }));
+  BOOST_TEST(!isReady(0));
+  BOOST_TEST(until([&] { return !running(0); }));
+}
+
+struct ShortGrace : PlatformCluster {
+  ShortGrace() {
+    m_StopGraceSeconds = 2;
+    addExecutor().behaviour().m_Hangs = true;
+    addNode();
+    BOOST_REQUIRE(untilReady());
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnswersWhatItCannotFinish, ShortGrace) {
+  auto Reply = submit(0, JobA, 1, 15000);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 1; }));
+  signal(0, SIGTERM);
+  BOOST_TEST(until([&] { return !running(0); }));
+  BOOST_TEST(until([&] { return Reply->m_Answer.has_value(); }));
+  BOOST_TEST(Reply->has(504));
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesNothingItCannotFinish, ShortGrace) {
+  addNode();
+  BOOST_REQUIRE(untilReady());
+  signal(0, SIGTERM);
+  BOOST_REQUIRE(until([&] { return !isReady(0) && isReady(1); }));
+  nlohmann::json Body = {
+      {"spec", "text"},
+      {"best_effort", true},
+      {"steps", {{{"count", 1}, {"cpu", 10}, {"estimated_ms", 3000}}}}};
+  auto Reply = call(0, "POST", Prefix + JobA, Body.dump());
+  BOOST_TEST(until([&] { return Reply->m_Answer.has_value(); }));
+  BOOST_TEST(Reply->has(503));
+  BOOST_TEST(startsInAll() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -0,0 +1,206 @@
+#include "PlatformCluster.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace auburnhub::platform {
+namespace {
+
+/// A test that waits longer has failed.
+constexpr double GenerousMs = 20000;
+
+Address freeAddress(EventLoop &Loop) {
+  boost::asio::ip::tcp::acceptor Probe(
+      Loop.io(), boost::asio::ip::tcp::endpoint(
+                     boost::asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", Probe.local_endpoint().port()};
+}
+
+} // namespace
+
+PlatformCluster::PlatformCluster() : m_Store(m_Loop), m_Client(m_Loop) {
+  BOOST_REQUIRE(m_Store.listen({"127.0.0.1", 0}).ok());
+  publishConfiguration(1);
+  std::string Pattern =
+      (std::filesystem::temp_directory_path() / "auburnhub-test-XXXXXX")
+          .string();
+  BOOST_REQUIRE(mkdtemp(Pattern.data()) != nullptr);
+  m_Folder = Pattern;
+}
+
+PlatformCluster::~PlatformCluster() {
+  m_Nodes.clear();
+  std::filesystem::remove_all(m_Folder);
+}
+
+FakeExecutor &PlatformCluster::addExecutor(const std::string &Zone) {
+  std::string Id = "i-" + std::to_string(m_Executors.size());
+  m_Executors.push_back(std::make_unique<FakeExecutor>(m_Loop, Id));
+  BOOST_REQUIRE(m_Executors.back()->listen({"127.0.0.1", 0}).ok());
+  registerExecutor(*m_Executors.back(), "ready", Zone);
+  return *m_Executors.back();
+}
+
+void PlatformCluster::registerExecutor(const FakeExecutor &Executor,
+                                       const std::string &State,
+                                       const std::string &Zone) {
+  m_Store.put("keyed.servers", Executor.id(),
+              Executor.registration(Service, Zone, State));
+}
+
+void PlatformCluster::publishConfiguration(std::uint64_t Version,
+                                           const std::string &PathPrefix) {
+  nlohmann::json Record = {{"version", Version},
+                           {"routes",
+                            {{{"name", "certify"},
+                              {"host", Host},
+                              {"path_prefix", PathPrefix},
+                              {"timeout_ms", 1500},
+                              {"target_latency_ms", 400},
+                              {"priority", 0},
+                              {"service", Service},
+                              {"max_attempts", 2},
+                              {"stretch", 1.6}}}},
+                           {"services", nlohmann::json::array()}};
+  m_Store.put("keyed.op", "config", Record.dump());
+}
+
+std::string PlatformCluster::writeSettings(const std::string &Name,
+                                           const std::string &Zone,
+                                           const NodeAddresses &Where) const {
+  nlohmann::json Settings = {
+      {"node", Name},
+      {"zone", Zone},
+      {"listen_addresses",
+       {{"front", Where.m_Callers.str()},
+        {"ready", Where.m_Readiness.str()},
+        {"control", Where.m_Links.str()}}},
+      {"seeds", nlohmann::json::array()},
+      {"limits", {{"cpu_share", 0.25}, {"cores", 1}}},
+      {"bounds", {{"hold_max_ms", 1000}, {"grace_s", m_StopGraceSeconds}}},
+      {"platform", {{"address", m_Store.address().str()}}}};
+  if (!m_Addresses.empty())
+    Settings["seeds"].push_back(m_Addresses.front().m_Links.str());
+  // JSON is YAML as well.
+  std::string Path = m_Folder + "/" + Name + ".yaml";
+  std::ofstream(Path) << Settings.dump();
+  return Path;
+}
+
+void PlatformCluster::addNode(const std::string &Zone) {
+  std::string Name = "node-" + std::to_string(m_Nodes.size());
+  NodeAddresses Where{freeAddress(m_Loop), freeAddress(m_Loop),
+                      freeAddress(m_Loop)};
+  std::vector<std::string> Arguments = {
+      "--settings", writeSettings(Name, Zone, Where), "--charts",
+      AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts"};
+  m_Addresses.push_back(Where);
+  auto Started = test::ProcessRunner::start(
+      AUBURNHUB_BINARY_DIR "/auburnhub-node", Arguments);
+  BOOST_REQUIRE(Started.ok());
+  m_Nodes.push_back(*std::move(Started));
+}
+
+bool PlatformCluster::until(const std::function<bool()> &Condition) {
+  TimePoint Begin = EventLoop::now();
+  while (!Condition()) {
+    if (millisecondsBetween(Begin, EventLoop::now()) > GenerousMs)
+      return false;
+    m_Loop.io().restart();
+    m_Loop.io().run_one_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+bool PlatformCluster::untilReady() {
+  return until([this] {
+    for (std::size_t I = 0; I < m_Nodes.size(); ++I)
+      if (running(I) && !isReady(I))
+        return false;
+    return true;
+  });
+}
+
+bool PlatformCluster::isReady(std::size_t Node) {
+  auto Answer = std::make_shared<Reply>();
+  HttpRequest Request;
+  Request.m_Path = "/readiness";
+  m_Client.call(m_Addresses[Node].m_Readiness, Request,
+                std::chrono::milliseconds(1000),
+                [Answer](absl::StatusOr<HttpResponse> Response) {
+                  Answer->m_Answer = std::move(Response);
+                });
+  until([&] { return Answer->m_Answer.has_value(); });
+  return Answer->has(200);
+}
+
+std::shared_ptr<PlatformCluster::Reply>
+PlatformCluster::call(std::size_t Node, const std::string &Method,
+                      const std::string &Path, std::string Body,
+                      int DeadlineMs) {
+  auto Answer = std::make_shared<Reply>();
+  HttpRequest Request;
+  Request.m_Method = Method;
+  Request.m_Path = Path;
+  Request.m_Headers.set("Host", Host);
+  Request.m_Headers.set("X-Deadline-Ms", std::to_string(DeadlineMs));
+  Request.m_Body = std::move(Body);
+  m_Client.call(m_Addresses[Node].m_Callers, Request,
+                std::chrono::milliseconds(DeadlineMs),
+                [Answer](absl::StatusOr<HttpResponse> Response) {
+                  Answer->m_Answer = std::move(Response);
+                });
+  return Answer;
+}
+
+std::shared_ptr<PlatformCluster::Reply>
+PlatformCluster::submit(std::size_t Node, const std::string &Id, int Tasks,
+                        int DeadlineMs) {
+  nlohmann::json Body = {{"spec", "text"},
+                         {"best_effort", true},
+                         {"steps",
+                          {{{"count", Tasks},
+                            {"cpu", 6000},
+                            {"mem_mb", 64},
+                            {"estimated_ms", 20}}}}};
+  return call(Node, "POST", Prefix + Id, Body.dump(), DeadlineMs);
+}
+
+std::size_t PlatformCluster::startsInAll() const {
+  std::size_t Total = 0;
+  for (const auto &Executor : m_Executors)
+    Total += Executor->starts();
+  return Total;
+}
+
+std::size_t PlatformCluster::runningInAll() const {
+  std::size_t Total = 0;
+  for (const auto &Executor : m_Executors)
+    Total += Executor->running();
+  return Total;
+}
+
+bool PlatformCluster::anyOverlap() const {
+  std::vector<std::pair<TimePoint, FakeExecutor::Event>> All;
+  for (const auto &Executor : m_Executors)
+    for (const FakeExecutor::Event &Event : Executor->journal())
+      All.emplace_back(Event.m_At, Event);
+  std::stable_sort(All.begin(), All.end(), [](const auto &A, const auto &B) {
+    return A.first < B.first;
+  });
+  std::map<std::string, int> Alive;
+  bool Overlap = false;
+  for (const auto &[At, Event] : All) {
+    int &Count = Alive[Event.m_Task];
+    Count += Event.m_What == "start" ? 1 : -1;
+    Overlap = Overlap || Count > 1;
+  }
+  return Overlap;
+}
+
+} // namespace auburnhub::platform
--- a/include/auburnhub/Node/JobRouter.h
+++ b/include/auburnhub/Node/JobRouter.h
@@ -55,6 +55,8 @@
   void answered(const JobAnswer &Answer);
   /// The caller has gone; nothing is answered.
   void callerGone(std::uint64_t Call);
+  /// Answers every call at once: the process ends. Their tasks are stopped.
+  void giveUpAll();
   /// Returns whether a job waits for its answer here.
   bool knows(const std::string &Job) const { return m_ById.contains(Job); }
 
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -66,6 +66,8 @@
 
   /// Hands shards over and takes no jobs of other nodes any more.
   void drain();
+  /// Answers every caller at once; for a stop that cannot wait any longer.
+  void giveUpAll() { m_Router.giveUpAll(); }
   /// Returns whether nothing is left that a stop would cut.
   bool drained() const;
   /// Returns whether callers' jobs can be served.
