--- a/Source/Base/Log.cpp
+++ b/Source/Base/Log.cpp
@@ -1,26 +1,73 @@
 #include "auburnhub/Base/Log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
 #include <array>
 #include <chrono>
+#include <climits>
 #include <ctime>
+#include <poll.h>
+#include <unistd.h>
 
 namespace auburnhub {
 namespace {
 
-/// Writes the message, which is one JSON object already, as a line.
-class JsonLineLayout : public log4cplus::Layout {
+/// Writes each message, which is one JSON object already, as a line to
+/// standard output, and never waits for its reader: a line that does not fit,
+/// or that is over the bound of its second, is dropped and counted. A line with
+/// the count follows as soon as one fits again.
+class BoundedLineAppender : public log4cplus::Appender {
 public:
-  void
-  formatAndAppend(log4cplus::tostream &Output,
-                  const log4cplus::spi::InternalLoggingEvent &Event) override {
-    Output << Event.getMessage() << '\n';
+  explicit BoundedLineAppender(std::uint32_t MaxLinesPerSecond)
+      : m_MaxLinesPerSecond(MaxLinesPerSecond) {}
+  ~BoundedLineAppender() override { destructorImpl(); }
+  BoundedLineAppender(const BoundedLineAppender &) = delete;
+  BoundedLineAppender &operator=(const BoundedLineAppender &) = delete;
+
+  void close() override {}
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    if (m_Dropped > 0 && withinRate()) {
+      std::string Note = R"({"area":"log","event":"lines_dropped","count":)" +
+                         std::to_string(m_Dropped) + "}";
+      if (writeLine(Note))
+        m_Dropped = 0;
+    }
+    if (!withinRate() || !writeLine(Event.getMessage()))
+      ++m_Dropped;
   }
+
+private:
+  bool withinRate() {
+    auto Now = std::chrono::steady_clock::now();
+    if (Now - m_SecondBegan >= std::chrono::seconds(1)) {
+      m_SecondBegan = Now;
+      m_LinesInSecond = 0;
+    }
+    return m_LinesInSecond < m_MaxLinesPerSecond;
+  }
+
+  /// Returns false if the line could have blocked. A pipe that is ready takes
+  /// PIPE_BUF bytes at once, so longer lines are not tried.
+  bool writeLine(std::string Line) {
+    Line += '\n';
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    if (Line.size() > PIPE_BUF || poll(&Output, 1, 0) != 1 ||
+        (Output.revents & POLLOUT) == 0)
+      return false;
+    ++m_LinesInSecond;
+    return ::write(STDOUT_FILENO, Line.data(), Line.size()) ==
+           static_cast<ssize_t>(Line.size());
+  }
+
+  const std::uint32_t m_MaxLinesPerSecond;
+  std::chrono::steady_clock::time_point m_SecondBegan;
+  std::uint32_t m_LinesInSecond = 0;
+  std::uint64_t m_Dropped = 0;
 };
 
 struct LoggingState {
@@ -84,10 +131,8 @@
   State.m_Options = Options;
   log4cplus::Logger Root = log4cplus::Logger::getRoot();
   Root.removeAllAppenders();
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(false, true));
-  Appender->setLayout(std::make_unique<JsonLineLayout>());
-  Root.addAppender(Appender);
+  Root.addAppender(log4cplus::SharedAppenderPtr(
+      new BoundedLineAppender(Options.m_MaxLinesPerSecond)));
   Root.setLogLevel(parseLevel(Options.m_Level));
   for (const auto &[Area, Level] : Options.m_AreaLevels)
     log4cplus::Logger::getInstance(Area).setLogLevel(parseLevel(Level));
--- a/Source/Jobs/Job.cpp
+++ b/Source/Jobs/Job.cpp
@@ -29,9 +29,8 @@
 
 std::string_view jobReasonName(JobReason Reason) {
   static constexpr std::array<std::string_view, 9> Names = {
-      "none",           "no_room",    "timed_out",  "cancelled",
-      "attempts_spent", "never_fits", "owner_lost", "no_owner",
-      "stopping"};
+      "none",       "no_room",    "timed_out", "cancelled", "attempts_spent",
+      "never_fits", "owner_lost", "no_owner",  "stopping"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
@@ -43,7 +42,7 @@
 
 std::string_view orderAnswerName(OrderAnswer Answer) {
   static constexpr std::array<std::string_view, 10> Names = {
-      "accepted", "fenced",  "number_used", "expired",           "no_room",
+      "accepted", "fenced",    "number_used",       "expired",  "no_room",
       "invalid",  "unhealthy", "other_incarnation", "not_sent", "no_answer"};
   return Names[static_cast<std::size_t>(Answer)];
 }
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(JobParameters Parameters)
+JobScheduler::JobScheduler(const JobParameters &Parameters)
     : m_Parameters(Parameters), m_Workers(Parameters) {
   m_TypicalTask.m_CpuMillis = AssumedCpuMillis;
 }
@@ -344,7 +344,8 @@
   }
   for (auto [Item, Reason] : Over)
     finish(Now, *Item,
-           Item->m_PossibleStarts > 0 ? JobOutcome::GivenUp : JobOutcome::NotRun,
+           Item->m_PossibleStarts > 0 ? JobOutcome::GivenUp
+                                      : JobOutcome::NotRun,
            Reason);
 }
 
@@ -383,8 +384,10 @@
     Order.emplace_back(rank(Now, *Item, Speed->second), Item.get());
   }
   std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
-    return std::tie(A.first.m_Tier, A.first.m_SlackMs, A.second->m_Request.m_Id) <
-           std::tie(B.first.m_Tier, B.first.m_SlackMs, B.second->m_Request.m_Id);
+    return std::tie(A.first.m_Tier, A.first.m_SlackMs,
+                    A.second->m_Request.m_Id) <
+           std::tie(B.first.m_Tier, B.first.m_SlackMs,
+                    B.second->m_Request.m_Id);
   });
   for (auto &[Place, Item] : Order)
     startTasks(Now, *Item);
--- a/Source/Jobs/WorkerBook.cpp
+++ b/Source/Jobs/WorkerBook.cpp
@@ -70,11 +70,10 @@
     if (!Step.m_PreferredLabel.empty() &&
         !Worker.m_Spec.hasLabel(Step.m_PreferredLabel))
       Expected *= m_Parameters.m_FarFactor;
-    bool Better = !Best.m_Worker ||
-                  Expected < Best.m_ExpectedMs * (1 - EqualShare) ||
-                  (Expected < Best.m_ExpectedMs * (1 + EqualShare) &&
-                   Worker.m_Free.m_CpuMillis <
-                       Best.m_Worker->m_Free.m_CpuMillis);
+    bool Better =
+        !Best.m_Worker || Expected < Best.m_ExpectedMs * (1 - EqualShare) ||
+        (Expected < Best.m_ExpectedMs * (1 + EqualShare) &&
+         Worker.m_Free.m_CpuMillis < Best.m_Worker->m_Free.m_CpuMillis);
     if (Better) {
       Best.m_Worker = &Worker;
       Best.m_ExpectedMs = Expected;
@@ -87,14 +86,14 @@
 
 bool WorkerBook::couldEverHold(std::string_view Service,
                                const JobStep &Step) const {
-  return std::any_of(
-      m_Workers.begin(), m_Workers.end(), [&](const auto &Entry) {
-        const WorkerSpec &Spec = Entry.second.m_Spec;
-        return Spec.m_Service == Service &&
-               Step.m_Each.fitsInto(Spec.m_Capacity) &&
-               (Step.m_RequiredLabel.empty() ||
-                Spec.hasLabel(Step.m_RequiredLabel));
-      });
+  return std::any_of(m_Workers.begin(), m_Workers.end(),
+                     [&](const auto &Entry) {
+                       const WorkerSpec &Spec = Entry.second.m_Spec;
+                       return Spec.m_Service == Service &&
+                              Step.m_Each.fitsInto(Spec.m_Capacity) &&
+                              (Step.m_RequiredLabel.empty() ||
+                               Spec.hasLabel(Step.m_RequiredLabel));
+                     });
 }
 
 double WorkerBook::bestSpeed(TimePoint Now, std::string_view Service) const {
--- a/Source/Net/LoopHttpClient.cpp
+++ b/Source/Net/LoopHttpClient.cpp
@@ -36,8 +36,8 @@
 /// that nobody asked for.
 bool isStale(Tcp::socket &Socket) {
   char Byte = 0;
-  ssize_t Got = ::recv(Socket.native_handle(), &Byte, 1,
-                       MSG_PEEK | MSG_DONTWAIT);
+  ssize_t Got =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return Got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -129,32 +129,32 @@
   }
 
   void write() {
-    http::async_write(m_Connection->m_Socket, m_Request,
-                      [Self = shared_from_this()](boost::system::error_code Ec,
-                                                  std::size_t) {
-                        if (!Self->m_Done)
-                          return;
-                        if (Ec)
-                          Self->finish(absl::AbortedError(Ec.message()));
-                        else
-                          Self->read();
-                      });
+    http::async_write(
+        m_Connection->m_Socket, m_Request,
+        [Self = shared_from_this()](boost::system::error_code Ec, std::size_t) {
+          if (!Self->m_Done)
+            return;
+          if (Ec)
+            Self->finish(absl::AbortedError(Ec.message()));
+          else
+            Self->read();
+        });
   }
 
   void read() {
     m_Connection->m_Buffer.reserve(InitialBufferBytes);
     m_Parser.emplace();
     m_Parser->body_limit(MaxResponseBytes);
-    http::async_read(m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
-                     [Self = shared_from_this()](boost::system::error_code Ec,
-                                                 std::size_t) {
-                       if (!Self->m_Done)
-                         return;
-                       if (Ec)
-                         Self->finish(absl::AbortedError(Ec.message()));
-                       else
-                         Self->answered();
-                     });
+    http::async_read(
+        m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
+        [Self = shared_from_this()](boost::system::error_code Ec, std::size_t) {
+          if (!Self->m_Done)
+            return;
+          if (Ec)
+            Self->finish(absl::AbortedError(Ec.message()));
+          else
+            Self->answered();
+        });
   }
 
   void answered() {
@@ -169,7 +169,7 @@
     finish(std::move(Response));
   }
 
-  void finishLater(absl::Status Why) {
+  void finishLater(const absl::Status &Why) {
     m_Pool->m_Loop.post(
         [Self = shared_from_this(), Why] { Self->finish(Why); });
   }
--- a/Source/Net/LoopHttpServer.cpp
+++ b/Source/Net/LoopHttpServer.cpp
@@ -91,18 +91,18 @@
 }
 
 void LoopHttpServer::Shared::accept() {
-  m_Acceptor.async_accept([Self = shared_from_this()](
-                              boost::system::error_code Ec,
-                              Tcp::socket Socket) {
-    if (Ec == boost::asio::error::operation_aborted)
-      return;
-    if (!Ec && Self->m_Sessions.size() < Self->m_Limits.m_MaxConnections) {
-      boost::system::error_code Ignored;
-      Socket.set_option(Tcp::no_delay(true), Ignored);
-      std::make_shared<Session>(Self, std::move(Socket))->readRequest();
-    }
-    Self->accept();
-  });
+  m_Acceptor.async_accept(
+      [Self = shared_from_this()](boost::system::error_code Ec,
+                                  Tcp::socket Socket) {
+        if (Ec == boost::asio::error::operation_aborted)
+          return;
+        if (!Ec && Self->m_Sessions.size() < Self->m_Limits.m_MaxConnections) {
+          boost::system::error_code Ignored;
+          Socket.set_option(Tcp::no_delay(true), Ignored);
+          std::make_shared<Session>(Self, std::move(Socket))->readRequest();
+        }
+        Self->accept();
+      });
 }
 
 void LoopHttpServer::Session::armTimeout(EventLoop::Duration Timeout) {
@@ -141,16 +141,15 @@
         }
         Self->m_Idle = false;
         Self->armTimeout(Self->m_Server->m_Limits.m_HeaderTimeout);
-        http::async_read(
-            Self->m_Socket, Self->m_Buffer, *Self->m_Parser,
-            [Self](boost::system::error_code BodyEc, std::size_t) {
-              Self->onRequest(BodyEc);
-            });
+        http::async_read(Self->m_Socket, Self->m_Buffer, *Self->m_Parser,
+                         [Self](boost::system::error_code BodyEc, std::size_t) {
+                           Self->onRequest(BodyEc);
+                         });
       });
 }
 
-HttpRequest LoopHttpServer::Session::toRequest(
-    http::request<http::string_body> Message) {
+HttpRequest
+LoopHttpServer::Session::toRequest(http::request<http::string_body> Message) {
   HttpRequest Result;
   Result.m_Method = std::string(Message.method_string());
   Result.m_Path = std::string(Message.target());
@@ -230,8 +229,8 @@
   m_Response.keep_alive(KeepAlive);
   m_Response.prepare_payload();
   http::async_write(m_Socket, m_Response,
-                    [Self = shared_from_this(), KeepAlive](
-                        boost::system::error_code Ec, std::size_t) {
+                    [Self = shared_from_this(),
+                     KeepAlive](boost::system::error_code Ec, std::size_t) {
                       if (Ec) {
                         Self->close();
                         return;
@@ -267,8 +266,8 @@
   if (!Ec)
     m_Shared->m_Acceptor.bind(End, Ec);
   if (!Ec)
-    m_Shared->m_Acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                                Ec);
+    m_Shared->m_Acceptor.listen(
+        boost::asio::socket_base::max_listen_connections, Ec);
   if (Ec)
     return absl::UnavailableError("cannot listen on " + Where.str() + ": " +
                                   Ec.message());
--- a/Source/Node/JobRouter.cpp
+++ b/Source/Node/JobRouter.cpp
@@ -136,8 +136,7 @@
   Item.m_Tried.insert(*Chosen);
   armDeadline(Id, Item);
   JobRequest Job = Item.m_Job;
-  Job.m_TimeLeftMs -=
-      millisecondsBetween(Item.m_Received, Now) + AnswerPathMs;
+  Job.m_TimeLeftMs -= millisecondsBetween(Item.m_Received, Now) + AnswerPathMs;
   m_Log.info("job_routed", {{"job", Job.m_Id},
                             {"queue", Job.m_Policy.m_Queue},
                             {"owner", *Chosen},
@@ -212,9 +211,8 @@
     bool Routed = !First->second.m_Owner.empty();
     if (Routed)
       m_Effects.m_Cancel(First->second.m_Owner, First->second.m_Job.m_Id);
-    finish(First->first,
-           {Routed ? JobOutcome::GivenUp : JobOutcome::NotRun,
-            JobReason::Stopping, RetryAfterMs});
+    finish(First->first, {Routed ? JobOutcome::GivenUp : JobOutcome::NotRun,
+                          JobReason::Stopping, RetryAfterMs});
   }
 }
 
@@ -231,14 +229,13 @@
                {{"outcome", std::string(jobOutcomeName(Result.m_Outcome))},
                 {"reason", std::string(jobReasonName(Result.m_Reason))}})
       .add();
-  m_Log.info("job_answered",
-             {{"job", Item.m_Job.m_Id},
-              {"queue", Item.m_Job.m_Policy.m_Queue},
-              {"outcome", jobOutcomeName(Result.m_Outcome)},
-              {"reason", jobReasonName(Result.m_Reason)},
-              {"owner", Item.m_Owner},
-              {"owners_tried", Item.m_Tried.size()},
-              {"took_ms", std::round(TookMs)}});
+  m_Log.info("job_answered", {{"job", Item.m_Job.m_Id},
+                              {"queue", Item.m_Job.m_Policy.m_Queue},
+                              {"outcome", jobOutcomeName(Result.m_Outcome)},
+                              {"reason", jobReasonName(Result.m_Reason)},
+                              {"owner", Item.m_Owner},
+                              {"owners_tried", Item.m_Tried.size()},
+                              {"took_ms", std::round(TookMs)}});
   if (Item.m_Done)
     Item.m_Done(Result);
 }
--- a/Source/Node/PeerLinks.cpp
+++ b/Source/Node/PeerLinks.cpp
@@ -41,10 +41,10 @@
       m_Transport(
           MaxMessageBytes,
           {[this](ConnectionId Id, bool Incoming) { onOpened(Id, Incoming); },
-           [this](ConnectionId Id, std::string Bytes) {
+           [this](ConnectionId Id, const std::string &Bytes) {
              onReceived(Id, Bytes);
            },
-           [this](ConnectionId Id, std::string Reason) {
+           [this](ConnectionId Id, const std::string &Reason) {
              onClosed(Id, Reason);
            }},
           Loop.io()) {
@@ -64,9 +64,8 @@
 }
 
 bool PeerLinks::triedAll() const {
-  return std::all_of(m_Targets.begin(), m_Targets.end(), [](const auto &Entry) {
-    return Entry.second.m_Tried;
-  });
+  return std::all_of(m_Targets.begin(), m_Targets.end(),
+                     [](const auto &Entry) { return Entry.second.m_Tried; });
 }
 
 void PeerLinks::connect(const std::string &Where) {
@@ -85,13 +84,12 @@
 void PeerLinks::retryLater(const std::string &Where) {
   Target &To = m_Targets[Where];
   To.m_BackoffMs = std::clamp(2 * To.m_BackoffMs, MinBackoffMs, MaxBackoffMs);
-  To.m_Retry =
-      m_Loop.once(EventLoop::Duration(static_cast<int>(To.m_BackoffMs)),
-                  [this, Where] {
-                    connect(Where);
-                    if (m_Targets[Where].m_Connection == 0)
-                      retryLater(Where);
-                  });
+  To.m_Retry = m_Loop.once(
+      EventLoop::Duration(static_cast<int>(To.m_BackoffMs)), [this, Where] {
+        connect(Where);
+        if (m_Targets[Where].m_Connection == 0)
+          retryLater(Where);
+      });
 }
 
 NodeHello PeerLinks::greeting() const {
@@ -116,8 +114,9 @@
     return;
   absl::StatusOr<Envelope> Received = decodeEnvelope(Bytes);
   if (!Received.ok()) {
-    m_Log.warning("bad_message", {{"peer", Found->second.m_Node},
-                                  {"detail", failureDetail(Received.status())}});
+    m_Log.warning("bad_message",
+                  {{"peer", Found->second.m_Node},
+                   {"detail", failureDetail(Received.status())}});
     return;
   }
   if (Received->m_Type == NodeHello::TypeName) {
@@ -208,9 +207,9 @@
     return;
   std::string Address = Link->second.m_Hello.m_LinkAddress;
   m_Links.erase(Link);
-  m_Log.info("peer_down", {{"peer", Gone.m_Node},
-                           {"reason", Reason},
-                           {"links", m_Links.size()}});
+  m_Log.info(
+      "peer_down",
+      {{"peer", Gone.m_Node}, {"reason", Reason}, {"links", m_Links.size()}});
   if (m_Targets[Address].m_Connection == 0)
     retryLater(Address);
   m_Events.m_Down(Gone.m_Node);
--- a/Source/Node/ShardMap.cpp
+++ b/Source/Node/ShardMap.cpp
@@ -83,9 +83,8 @@
 }
 
 void ShardMap::lost(const ShardId &Shard) {
-  std::erase_if(m_Own, [&](const ShardClaim &Claim) {
-    return Claim.m_Shard == Shard;
-  });
+  std::erase_if(
+      m_Own, [&](const ShardClaim &Claim) { return Claim.m_Shard == Shard; });
 }
 
 ShardClaim *ShardMap::ownClaim(const ShardId &Shard) {
--- a/Source/Wire/Transport.cpp
+++ b/Source/Wire/Transport.cpp
@@ -175,7 +175,8 @@
       visit(Item, Visit);
   }
 
-  template <typename Visitor> void visit(const Connection &Item, Visitor Visit) {
+  template <typename Visitor>
+  void visit(const Connection &Item, Visitor Visit) {
     websocketpp::lib::error_code Ec;
     if (Item.m_Incoming) {
       auto Con = m_Server.get_con_from_hdl(Item.m_Handle, Ec);
@@ -307,8 +308,8 @@
 
 Transport::Transport(std::size_t MaxMessageBytes, TransportEvents Events,
                      boost::asio::io_context &Loop)
-    : m_Impl(std::make_unique<Impl>(MaxMessageBytes, std::move(Events),
-                                    &Loop)) {}
+    : m_Impl(
+          std::make_unique<Impl>(MaxMessageBytes, std::move(Events), &Loop)) {}
 
 Transport::~Transport() = default;
 
--- /dev/null
+++ b/Tests/Jobs/JobSchedulerPropertyTest.cpp
@@ -0,0 +1,137 @@
+#include "SchedulerFixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace auburnhub;
+
+namespace {
+
+constexpr std::int64_t Capacity = 16000;
+
+/// Drives a scheduler by random events and checks after each what must hold.
+class RandomRun : public SchedulerFixture {
+public:
+  RandomRun() {
+    for (int I = 0; I < 3; ++I)
+      addWorker("w" + std::to_string(I), Capacity);
+  }
+
+  void step() {
+    std::size_t Before = m_Starts.size();
+    act(*rc::gen::inRange(0, 9));
+    for (std::size_t I = Before; I < m_Starts.size(); ++I)
+      noteStart(m_Starts[I]);
+    check();
+  }
+
+  void finish() {
+    pass(6000);
+    for (const std::string &Job : m_Submitted)
+      RC_ASSERT(m_Over.contains(Job) && m_Over.at(Job).size() == 1U);
+  }
+
+private:
+  struct Alive {
+    TaskRef m_Task;
+    std::string m_Worker;
+    std::int64_t m_Cpu = 0;
+  };
+
+  void noteStart(const StartRun &Order) {
+    m_Alive[Order.m_Run] = {Order.m_Task, Order.m_Worker, 5000};
+    m_EverOrdered[Order.m_Task.m_Job].insert(Order.m_Run);
+  }
+
+  RunId anyAlive() const {
+    auto It = m_Alive.begin();
+    std::advance(It, *rc::gen::inRange<std::size_t>(0, m_Alive.size()));
+    return It->first;
+  }
+
+  void act(int Choice) {
+    if (Choice <= 2) {
+      std::string Id = "job" + std::to_string(m_Submitted.size());
+      m_Submitted.push_back(Id);
+      submit(job(Id, *rc::gen::inRange(1U, 5U), 5000,
+                 *rc::gen::inRange(20, 900)));
+      return;
+    }
+    if (Choice == 3) {
+      pass(*rc::gen::inRange(1, 400));
+      return;
+    }
+    if (Choice == 4 && !m_Submitted.empty()) {
+      m_Scheduler.cancel(m_Now, *rc::gen::elementOf(m_Submitted));
+      collect();
+      return;
+    }
+    if (Choice == 5) {
+      std::string Worker = "w" + std::to_string(*rc::gen::inRange(0, 3));
+      m_Scheduler.setReachable(m_Now, Worker, *rc::gen::arbitrary<bool>());
+      collect();
+      return;
+    }
+    if (m_Alive.empty())
+      return;
+    RunId Run = anyAlive();
+    if (Choice == 6) {
+      accept(Run);
+      return;
+    }
+    Alive Gone = m_Alive.at(Run);
+    m_Alive.erase(Run);
+    if (Choice == 7) {
+      m_EverOrdered[Gone.m_Task.m_Job].erase(Run);
+      refuse(Run, *rc::gen::element(RefusalReason::NoRoom,
+                                    RefusalReason::NumberUsed,
+                                    RefusalReason::Unhealthy));
+      return;
+    }
+    end(Run, *rc::gen::element(RunEnd::Done, RunEnd::Done, RunEnd::Failed,
+                               RunEnd::Stopped, RunEnd::Lapsed));
+  }
+
+  void check() const {
+    std::set<TaskRef> Tasks;
+    std::map<std::string, std::int64_t> Used;
+    for (const auto &[Run, Item] : m_Alive) {
+      // No task has two runs that may be alive.
+      RC_ASSERT(Tasks.insert(Item.m_Task).second);
+      Used[Item.m_Worker] += Item.m_Cpu;
+    }
+    for (const auto &[Worker, Cpu] : Used)
+      RC_ASSERT(Cpu <= Capacity);
+    for (const auto &[Job, Results] : m_Over) {
+      RC_ASSERT(Results.size() == 1U);
+      auto Ordered = m_EverOrdered.find(Job);
+      // "Not run" is said only of jobs of which every order was refused.
+      if (Results[0].m_Outcome == JobOutcome::NotRun)
+        RC_ASSERT(Ordered == m_EverOrdered.end() || Ordered->second.empty());
+    }
+  }
+
+  std::map<RunId, Alive> m_Alive;
+  std::map<std::string, std::set<RunId>> m_EverOrdered;
+  std::vector<std::string> m_Submitted;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AJobSchedulerUnderRandomEvents)
+
+BOOST_AUTO_TEST_CASE(KeepsItsPromises) {
+  bool Held = rc::check([] {
+    RandomRun Run;
+    int Steps = *rc::gen::inRange(1, 120);
+    for (int I = 0; I < Steps; ++I)
+      Run.step();
+    Run.finish();
+  });
+  BOOST_TEST(Held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -0,0 +1,214 @@
+#include "SchedulerFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace auburnhub;
+
+BOOST_FIXTURE_TEST_SUITE(AJobScheduler, SchedulerFixture)
+
+BOOST_AUTO_TEST_SUITE(PlacesTasks)
+
+BOOST_AUTO_TEST_CASE(OnlyWhereTheyFit) {
+  addWorker("w1", 13000);
+  submit(job("a", 3));
+  BOOST_TEST(m_Starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(OnAWorkerWithTheRequiredLabel) {
+  addWorker("w1");
+  addWorker("w2", 16000, {"fast"});
+  JobRequest Request = job("a", 2);
+  Request.m_Steps[0].m_RequiredLabel = "fast";
+  submit(Request);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[0].m_Worker == "w2");
+  BOOST_TEST(m_Starts[1].m_Worker == "w2");
+}
+
+BOOST_AUTO_TEST_CASE(NotMoreOfAStepOnOneWorkerThanAllowed) {
+  addWorker("w1");
+  addWorker("w2");
+  JobRequest Request = job("a", 3);
+  Request.m_Steps[0].m_MaxOnOneWorker = 1;
+  submit(Request);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[0].m_Worker != m_Starts[1].m_Worker);
+}
+
+BOOST_AUTO_TEST_CASE(OfAStepOnlyAfterTheStepsItWaitsFor) {
+  addWorker("w1");
+  JobRequest Request = job("a", 1);
+  Request.m_Steps.push_back(Request.m_Steps[0]);
+  Request.m_Steps[1].m_After = {0};
+  submit(Request);
+  BOOST_REQUIRE(m_Starts.size() == 1U);
+  accept(m_Starts[0].m_Run);
+  end(m_Starts[0].m_Run, RunEnd::Done);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[1].m_Task.m_Step == 1U);
+  end(m_Starts[1].m_Run, RunEnd::Done);
+  BOOST_TEST(isOver("a", JobOutcome::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(NotOnAWorkerThatLeaves) {
+  addWorker("w1");
+  WorkerSpec Leaving = m_Scheduler.workers().all().at("w1").m_Spec;
+  Leaving.m_Leaving = true;
+  m_Scheduler.putWorker(m_Now, Leaving);
+  submit(job("a", 1));
+  BOOST_TEST(m_Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OfShortWorkBeforeLongWorkThatCanWait) {
+  addWorker("w1", 6000);
+  submit(job("first", 1));
+  submit(job("long", 1, 6000, 1000));
+  submit(job("short", 1, 6000, 100));
+  pass(10);
+  end(m_Starts[0].m_Run, RunEnd::Done);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[1].m_Task.m_Job == "short");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RefusesWithoutHavingRunAnything)
+
+BOOST_AUTO_TEST_CASE(WhatCannotStartWithinAQuarterOfItsObjective) {
+  addWorker("w1", 6000);
+  submit(job("a", 1));
+  submit(job("b", 1));
+  pass(30);
+  BOOST_TEST(!m_Over.contains("b"));
+  pass(30);
+  BOOST_TEST(isOver("b", JobOutcome::NotRun));
+  BOOST_TEST(m_Over["b"][0].m_RetryAfterMs > 0);
+  BOOST_TEST(m_Starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatNoWorkerCanHold) {
+  addWorker("w1", 6000);
+  submit(job("a", 1, 7000));
+  BOOST_TEST(isOver("a", JobOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(WhatEveryOrderedWorkerRefused) {
+  addWorker("w1", 6000);
+  submit(job("a", 1));
+  refuse(m_Starts[0].m_Run, RefusalReason::NoRoom);
+  m_Scheduler.cancel(m_Now, "a");
+  collect();
+  BOOST_TEST(isOver("a", JobOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(ButNeverWhatMayHaveRun) {
+  addWorker("w1", 6000);
+  submit(job("a", 1));
+  m_Scheduler.cancel(m_Now, "a");
+  collect();
+  BOOST_TEST(isOver("a", JobOutcome::GivenUp));
+  BOOST_TEST(m_Stops.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenARunFails)
+
+BOOST_AUTO_TEST_CASE(TriesAnotherWorker) {
+  addWorker("w1");
+  addWorker("w2");
+  submit(job("a", 1));
+  std::string First = m_Starts[0].m_Worker;
+  end(m_Starts[0].m_Run, RunEnd::Failed);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[1].m_Worker != First);
+  BOOST_TEST(m_Starts[1].m_Number > m_Starts[0].m_Number);
+}
+
+BOOST_AUTO_TEST_CASE(FailsTheJobAfterTheAttemptsOfItsQueue) {
+  addWorker("w1");
+  submit(job("a", 2));
+  end(m_Starts[0].m_Run, RunEnd::Failed);
+  end(m_Starts[2].m_Run, RunEnd::Failed);
+  BOOST_TEST(isOver("a", JobOutcome::Failed));
+  BOOST_TEST(m_Stops.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EjectsAWorkerThatFailsEverything) {
+  addWorker("bad");
+  for (int I = 0; I < 3; ++I) {
+    submit(job("j" + std::to_string(I), 1));
+    end(m_Starts.back().m_Run, RunEnd::Failed);
+    m_Scheduler.cancel(m_Now, "j" + std::to_string(I));
+    for (RunId Run : m_Stops)
+      end(Run, RunEnd::Stopped);
+  }
+  addWorker("good");
+  submit(job("next", 2));
+  BOOST_TEST(m_Starts.back().m_Worker == "good");
+  BOOST_TEST(m_Starts[m_Starts.size() - 2].m_Worker == "good");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenARunStalls)
+
+BOOST_AUTO_TEST_CASE(StopsItAndStartsItElsewhereOnlyOnceItHasEnded) {
+  addWorker("w1");
+  addWorker("w2");
+  submit(job("a", 1));
+  RunId Run = m_Starts[0].m_Run;
+  accept(Run);
+  m_Now = addMs(m_Now, 400);
+  m_Scheduler.runProgress(m_Now, Run, 0);
+  pass(1);
+  BOOST_REQUIRE(m_Stops.size() == 1U);
+  BOOST_TEST(m_Starts.size() == 1U);
+  end(Run, RunEnd::Stopped);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  BOOST_TEST(m_Starts[1].m_Worker != m_Starts[0].m_Worker);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesALongOneThatMakesProgress) {
+  addWorker("w1");
+  submit(job("a", 1));
+  accept(m_Starts[0].m_Run);
+  m_Now = addMs(m_Now, 400);
+  m_Scheduler.runProgress(m_Now, m_Starts[0].m_Run, 40);
+  pass(1);
+  BOOST_TEST(m_Stops.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(LearnsWhichWorkersAreFast) {
+  addWorker("slow");
+  for (int I = 0; I < 12; ++I) {
+    submit(job("s" + std::to_string(I), 1));
+    accept(m_Starts.back().m_Run);
+    pass(300);
+    end(m_Starts.back().m_Run, RunEnd::Done);
+  }
+  addWorker("fast");
+  for (int I = 0; I < 12; ++I) {
+    JobRequest Request = job("f" + std::to_string(I), 1);
+    submit(Request);
+    accept(m_Starts.back().m_Run);
+    pass(m_Starts.back().m_Worker == "fast" ? 100 : 300);
+    end(m_Starts.back().m_Run, RunEnd::Done);
+  }
+  const auto &Workers = m_Scheduler.workers().all();
+  BOOST_TEST(Workers.at("fast").m_Speed > Workers.at("slow").m_Speed);
+}
+
+BOOST_AUTO_TEST_CASE(GivesAJobUpWhenItsWorkerObeysAnotherOwner) {
+  addWorker("w1");
+  submit(job("a", 1));
+  m_Scheduler.runAbandoned(m_Now, m_Starts[0].m_Run);
+  collect();
+  BOOST_TEST(isOver("a", JobOutcome::GivenUp));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -0,0 +1,91 @@
+#ifndef AUBURNHUB_TESTS_JOBS_SCHEDULERFIXTURE_H
+#define AUBURNHUB_TESTS_JOBS_SCHEDULERFIXTURE_H
+
+#include "auburnhub/Jobs/JobScheduler.h"
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnhub {
+
+/// A scheduler with its orders sorted out, and a clock that the test moves.
+struct SchedulerFixture {
+  void addWorker(const std::string &Id, std::int64_t CpuMillis = 16000,
+                 std::vector<std::string> Labels = {}) {
+    WorkerSpec Spec;
+    Spec.m_Id = Id;
+    Spec.m_Service = "tile-orders";
+    Spec.m_Capacity = {CpuMillis, 65536, 0};
+    Spec.m_Labels = std::move(Labels);
+    m_Scheduler.putWorker(m_Now, Spec);
+    m_Scheduler.setReachable(m_Now, Id, true);
+    collect();
+  }
+
+  static JobRequest job(const std::string &Id, std::uint32_t Tasks,
+                        std::int64_t CpuMillis = 6000,
+                        double EstimatedMs = 100) {
+    JobRequest Request;
+    Request.m_Id = Id;
+    Request.m_Policy = {"certify", "tile-orders", 0, 2, 1.6, 60};
+    Request.m_TimeLeftMs = 5000;
+    JobStep Step;
+    Step.m_Count = Tasks;
+    Step.m_Each = {CpuMillis, 64, 0};
+    Step.m_EstimatedMs = EstimatedMs;
+    Request.m_Steps.push_back(Step);
+    return Request;
+  }
+
+  void submit(JobRequest Request) {
+    m_Scheduler.submit(m_Now, std::move(Request));
+    collect();
+  }
+
+  void pass(double Ms) {
+    m_Now = addMs(m_Now, Ms);
+    m_Scheduler.advance(m_Now);
+    collect();
+  }
+
+  void accept(RunId Run) {
+    m_Scheduler.runAccepted(m_Now, Run);
+    collect();
+  }
+
+  void end(RunId Run, RunEnd How) {
+    m_Scheduler.runEnded(m_Now, Run, How);
+    collect();
+  }
+
+  void refuse(RunId Run, RefusalReason Why) {
+    m_Scheduler.runRefused(m_Now, Run, Why);
+    collect();
+  }
+
+  void collect() {
+    for (const JobEffect &Effect : m_Scheduler.takeEffects())
+      std::visit([this](const auto &Order) { take(Order); }, Effect);
+  }
+  void take(const StartRun &Order) { m_Starts.push_back(Order); }
+  void take(const StopRun &Order) { m_Stops.push_back(Order.m_Run); }
+  void take(const JobOver &Over) { m_Over[Over.m_Job].push_back(Over.m_Result); }
+
+  bool isOver(const std::string &Job, JobOutcome Outcome) const {
+    auto Found = m_Over.find(Job);
+    return Found != m_Over.end() && Found->second.size() == 1 &&
+           Found->second.front().m_Outcome == Outcome;
+  }
+
+  TimePoint m_Now = TimePoint(std::chrono::hours(1));
+  JobScheduler m_Scheduler{JobParameters()};
+  std::vector<StartRun> m_Starts;
+  std::vector<RunId> m_Stops;
+  std::map<std::string, std::vector<JobResult>> m_Over;
+};
+
+} // namespace auburnhub
+
+#endif
--- /dev/null
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -0,0 +1,262 @@
+#include "auburnhub/Jobs/WorkerSession.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+using namespace auburnhub;
+
+namespace {
+
+/// A transport whose answers the test gives one by one.
+class ScriptedTransport {
+public:
+  template <typename Order, typename Reply> struct Call {
+    Order m_Order;
+    std::function<void(Reply)> m_Done;
+  };
+
+  void start(const WorkerSpec &, const StartOrder &Order,
+             std::chrono::milliseconds, std::function<void(OrderReply)> Done) {
+    m_Starts.push_back({Order, std::move(Done)});
+  }
+  void stop(const WorkerSpec &, const StopOrder &Order,
+            std::chrono::milliseconds, std::function<void(OrderReply)> Done) {
+    m_Stops.push_back({Order, std::move(Done)});
+  }
+  void renew(const WorkerSpec &, const RenewOrder &Order,
+             std::chrono::milliseconds, std::function<void(RenewReply)> Done) {
+    m_Renewals.push_back({Order, std::move(Done)});
+  }
+
+  std::deque<Call<StartOrder, OrderReply>> m_Starts;
+  std::deque<Call<StopOrder, OrderReply>> m_Stops;
+  std::deque<Call<RenewOrder, RenewReply>> m_Renewals;
+};
+
+struct SessionFixture {
+  SessionFixture()
+      : m_Chart(*StateChart::load(
+            AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts/worker-session.yaml",
+            WorkerSession<ScriptedTransport>::vocabulary())) {
+    WorkerSessionEvents Events;
+    Events.m_Reachable = [this](bool Now) { m_Reachable = Now; };
+    Events.m_Accepted = [this](RunId Run) { m_Accepted.push_back(Run); };
+    Events.m_Refused = [this](RunId Run, RefusalReason Why) {
+      m_Refused[Run] = Why;
+    };
+    Events.m_Ended = [this](RunId Run, RunEnd How) { m_Ended[Run] = How; };
+    Events.m_Progress = [](RunId, double) {};
+    Events.m_Fenced = [this] { m_Fenced = true; };
+    m_Session.emplace(m_Loop, m_Orders, m_Chart, m_Settings, WorkerSpec(),
+                      FencingToken{7}, Events);
+    m_Session->begin();
+  }
+
+  static RenewReply listed(std::vector<ListedRun> Running = {},
+                           std::vector<ListedEnd> Ended = {},
+                           std::int64_t Born = 1) {
+    RenewReply Reply;
+    Reply.m_Answer = OrderAnswer::Accepted;
+    Reply.m_WorkerClockMs = 100000;
+    Reply.m_BornMs = Born;
+    Reply.m_Running = std::move(Running);
+    Reply.m_Ended = std::move(Ended);
+    return Reply;
+  }
+
+  /// Answers the oldest renewal. Real time passes before, so that what was
+  /// known earlier is older than the next one.
+  void renewed(const RenewReply &Reply) {
+    BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+    auto Call = m_Orders.m_Renewals.front();
+    m_Orders.m_Renewals.pop_front();
+    Call.m_Done(Reply);
+  }
+
+  void answerStart(OrderAnswer Answer) {
+    auto Call = m_Orders.m_Starts.front();
+    m_Orders.m_Starts.pop_front();
+    Call.m_Done({Answer, 100000});
+  }
+
+  void answerStop(OrderAnswer Answer) {
+    BOOST_REQUIRE(!m_Orders.m_Stops.empty());
+    auto Call = m_Orders.m_Stops.front();
+    m_Orders.m_Stops.pop_front();
+    Call.m_Done({Answer, 100000});
+  }
+
+  const TaskRef m_Task{"job", 0, 0};
+  EventLoop m_Loop;
+  ScriptedTransport m_Orders;
+  StateChart m_Chart;
+  WorkerSessionSettings m_Settings;
+  std::optional<WorkerSession<ScriptedTransport>> m_Session;
+  bool m_Reachable = false;
+  bool m_Fenced = false;
+  std::vector<RunId> m_Accepted;
+  std::map<RunId, RefusalReason> m_Refused;
+  std::map<RunId, RunEnd> m_Ended;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AWorkerSession, SessionFixture)
+
+BOOST_AUTO_TEST_SUITE(Joins)
+
+BOOST_AUTO_TEST_CASE(WhenTheWorkerHasAnswered) {
+  BOOST_TEST(!m_Reachable);
+  renewed(listed());
+  BOOST_TEST(m_Reachable);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyOnceRunsOfAnEarlierOwnerAreGone) {
+  renewed(listed({{{"other", 0, 3}, 1, 20}}));
+  BOOST_TEST(!m_Reachable);
+  BOOST_REQUIRE(m_Orders.m_Stops.size() == 1U);
+  BOOST_TEST(m_Orders.m_Stops[0].m_Order.m_Task.m_Job == "other");
+  answerStop(OrderAnswer::Accepted);
+  renewed(listed({}, {{1, {"other", 0, 3}, 1, RunEnd::Stopped}}));
+  BOOST_TEST(m_Reachable);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutExtendingWhatItDoesNotKnow) {
+  BOOST_TEST(!m_Orders.m_Renewals[0].m_Order.m_LeaseUntilMs.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithARun)
+
+BOOST_AUTO_TEST_CASE(ReportsItsEndAndAcknowledgesItOnce) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  BOOST_TEST(m_Accepted.size() == 1U);
+  renewed(listed({}, {{5, m_Task, 1, RunEnd::Done}}));
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Done));
+  // One renewal more tells the worker that the end was seen.
+  BOOST_REQUIRE(m_Orders.m_Renewals.size() == 1U);
+  BOOST_TEST(m_Orders.m_Renewals[0].m_Order.m_LastEndSeen == 5U);
+  renewed(listed());
+  BOOST_TEST(m_Orders.m_Renewals.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TakesAListThatIsOlderThanTheStartForNothing) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  // The renewal went out before the start was answered.
+  answerStart(OrderAnswer::Accepted);
+  renewed(listed());
+  BOOST_TEST(m_Ended.empty());
+  // The next one was sent later, and does not list the run.
+  renewed(listed());
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(KnowsThatANewLifeRunsNothing) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  renewed(listed({}, {}, 2));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithAStartThatWasNotAnswered)
+
+BOOST_AUTO_TEST_CASE(StopsItAndBelievesNothingBeforeThatIsConfirmed) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::NoAnswer);
+  BOOST_REQUIRE(m_Orders.m_Stops.size() == 1U);
+  // Not listed, but the order may yet be carried out.
+  renewed(listed());
+  BOOST_TEST(m_Ended.empty());
+  answerStop(OrderAnswer::Accepted);
+  renewed(listed());
+  // That one was sent before the confirmation; the next one counts.
+  BOOST_TEST(m_Ended.empty());
+  renewed(listed());
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(StopsItAgainWhenTheStopIsNotAnsweredEither) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::NoAnswer);
+  answerStop(OrderAnswer::NoAnswer);
+  BOOST_TEST(m_Orders.m_Stops.size() == 1U);
+  BOOST_TEST(m_Ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(KnowsThatAnOrderWithoutAConnectionNeverArrived) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::NotSent);
+  BOOST_TEST((m_Refused.at(1) == RefusalReason::Unreachable));
+  BOOST_TEST(!m_Reachable);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithASilentWorker)
+
+BOOST_AUTO_TEST_CASE(BelievesItsRunsAliveWhileALeaseMayLast) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  renewed(RenewReply());
+  BOOST_TEST(!m_Reachable);
+  BOOST_TEST(m_Ended.empty());
+}
+
+BOOST_AUTO_TEST_CASE(BelievesThemOverWhenEveryLeaseHasRunOut) {
+  m_Settings.m_LeaseMs = 20;
+  m_Settings.m_OrderTimeoutMs = 10;
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  for (int Try = 0; Try < 200 && !m_Ended.contains(1); ++Try) {
+    if (!m_Orders.m_Renewals.empty())
+      renewed(RenewReply());
+    m_Loop.io().restart();
+    m_Loop.io().run_one_for(std::chrono::milliseconds(20));
+  }
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(ExtendsNoLeaseUntilItAnswers) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  renewed(RenewReply());
+  while (m_Orders.m_Renewals.empty()) {
+    m_Loop.io().restart();
+    m_Loop.io().run_one_for(std::chrono::milliseconds(20));
+  }
+  BOOST_TEST(!m_Orders.m_Renewals[0].m_Order.m_LeaseUntilMs.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(DoesNothingMoreOnceItIsFenced) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Fenced);
+  BOOST_TEST(m_Fenced);
+  std::size_t Renewals = m_Orders.m_Renewals.size();
+  m_Session->stop(1);
+  BOOST_TEST(m_Orders.m_Stops.empty());
+  BOOST_TEST(m_Orders.m_Renewals.size() == Renewals);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -52,8 +52,7 @@
 
 void FakeExecutor::conflict(const HttpExchange &Exchange,
                             const std::string &Why) const {
-  Exchange.respond(
-      jsonResponse(409, {{"clock_ms", clock()}, {"reason", Why}}));
+  Exchange.respond(jsonResponse(409, {{"clock_ms", clock()}, {"reason", Why}}));
 }
 
 void FakeExecutor::onCall(const HttpExchange &Exchange) {
@@ -98,8 +97,8 @@
   std::int64_t Until =
       std::min(Body["until_ms"].get<std::int64_t>(), clock() + LongestLeaseMs);
   m_LeaseUntil = std::max(m_LeaseUntil, Until);
-  auto Left = EventLoop::Duration(
-      std::max<std::int64_t>(0, m_LeaseUntil - clock()));
+  auto Left =
+      EventLoop::Duration(std::max<std::int64_t>(0, m_LeaseUntil - clock()));
   m_LeaseTimer = m_Loop.once(Left, [this] {
     std::vector<std::string> All;
     for (const auto &[Task, Item] : m_Running)
@@ -192,9 +191,8 @@
     Exchange.respond(jsonResponse(200, lists()));
     return;
   }
-  m_Renewals.emplace_back(Exchange,
-                          m_Loop.once(EventLoop::Duration(Wait),
-                                      [this] { answerRenewals(); }));
+  m_Renewals.emplace_back(Exchange, m_Loop.once(EventLoop::Duration(Wait),
+                                                [this] { answerRenewals(); }));
 }
 
 void FakeExecutor::answerRenewals() {
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -29,8 +29,8 @@
 } // namespace
 
 FakeStore::FakeStore(EventLoop &Loop)
-    : m_Loop(Loop), m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }) {
-}
+    : m_Loop(Loop),
+      m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }) {}
 
 void FakeStore::put(const std::string &Name, const std::string &Key,
                     std::optional<std::string> Value) {
@@ -111,8 +111,8 @@
     return status(410, R"({"first":0})");
   std::string Body = bigEndian(Of.m_Log.size()) + bigEndian(Of.m_First);
   for (std::size_t I = From; I < Of.m_Log.size(); ++I)
-    Body += encodeKeyedRecord(Of.m_Log[I].m_Key,
-                              Of.m_Log[I].m_Value.value_or(""));
+    Body +=
+        encodeKeyedRecord(Of.m_Log[I].m_Key, Of.m_Log[I].m_Value.value_or(""));
   return status(200, Body);
 }
 
--- a/include/auburnhub/Base/Log.h
+++ b/include/auburnhub/Base/Log.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,9 +24,14 @@
   std::string m_DataCentre;                        ///< The data centre's name.
   std::string m_Level = "info";                    ///< Level of all areas.
   std::map<std::string, std::string> m_AreaLevels; ///< Area to level.
+  /// Lines over this bound are dropped and counted. Two lines for each run and
+  /// each job of a node at three times its share of today's peak fit.
+  std::uint32_t m_MaxLinesPerSecond = 3000;
 };
 
-/// Starts logging to standard output. Call once, before the first Log.
+/// Starts logging to standard output, which never blocks the process: lines
+/// that its reader does not take are dropped, and a line says how many. Call
+/// once, before the first Log.
 void startLogging(const LogOptions &Options);
 
 /// Writes JSON lines of one area, e.g. "routing" or "config".
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -37,11 +37,11 @@
 struct JobStep {
   std::uint32_t m_Count = 0;
   Resources m_Each;
-  double m_EstimatedMs = 0;                ///< The caller's rough guess.
-  std::vector<std::uint32_t> m_After;      ///< Steps that must be done first.
-  std::string m_RequiredLabel;             ///< Empty: any worker.
-  std::string m_PreferredLabel;            ///< Where its data lies, or empty.
-  std::uint32_t m_MaxOnOneWorker = 0;      ///< 0: no limit.
+  double m_EstimatedMs = 0;           ///< The caller's rough guess.
+  std::vector<std::uint32_t> m_After; ///< Steps that must be done first.
+  std::string m_RequiredLabel;        ///< Empty: any worker.
+  std::string m_PreferredLabel;       ///< Where its data lies, or empty.
+  std::uint32_t m_MaxOnOneWorker = 0; ///< 0: no limit.
 
   template <typename Visitor> void fields(Visitor &V) {
     V("count", m_Count);
@@ -58,7 +58,7 @@
 struct QueuePolicy {
   std::string m_Queue;
   std::string m_Service;
-  int m_Priority = 0;          ///< 0 goes first.
+  int m_Priority = 0;              ///< 0 goes first.
   std::uint32_t m_MaxAttempts = 1; ///< Failed runs after which a task failed.
   /// The latency objective is this many times the longest task and the target
   /// latency more.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -44,9 +44,9 @@
   std::string m_Job;
   JobResult m_Result;
   double m_TookMs = 0;
-  double m_WaitedMs = 0;     ///< Until the first start; 0 without one.
-  double m_ObjectiveMs = 0;  ///< Expected latency objective.
-  std::size_t m_Runs = 0;    ///< Orders given for it.
+  double m_WaitedMs = 0;    ///< Until the first start; 0 without one.
+  double m_ObjectiveMs = 0; ///< Expected latency objective.
+  std::size_t m_Runs = 0;   ///< Orders given for it.
 };
 
 using JobEffect = std::variant<StartRun, StopRun, JobOver>;
@@ -69,7 +69,7 @@
 /// start that meets it; then those that will be late, while they are of use.
 class JobScheduler {
 public:
-  explicit JobScheduler(JobParameters Parameters);
+  explicit JobScheduler(const JobParameters &Parameters);
 
   // Workers.
   void putWorker(TimePoint Now, const WorkerSpec &Spec);
@@ -156,7 +156,8 @@
 
   /// The order in which waiting jobs are served.
   struct Rank {
-    int m_Tier = 0; ///< 0: meets its objective, 1: late but of use, 2: hopeless.
+    int m_Tier =
+        0; ///< 0: meets its objective, 1: late but of use, 2: hopeless.
     double m_SlackMs = 0;
   };
 
--- a/include/auburnhub/Jobs/WorkerBook.h
+++ b/include/auburnhub/Jobs/WorkerBook.h
@@ -53,7 +53,8 @@
 /// completion, and of equals the one that the task fills best.
 class WorkerBook {
 public:
-  explicit WorkerBook(JobParameters Parameters) : m_Parameters(Parameters) {}
+  explicit WorkerBook(const JobParameters &Parameters)
+      : m_Parameters(Parameters) {}
 
   WorkerRecord &put(const WorkerSpec &Spec);
   void erase(const std::string &Id) { m_Workers.erase(Id); }
@@ -72,7 +73,8 @@
   std::size_t freeSlots(TimePoint Now, const Resources &Each) const;
 
   /// Learns from a run that ended well: its time against the expected one.
-  void noteRunTime(WorkerRecord &Worker, double TookMs, double ExpectedMs) const;
+  void noteRunTime(WorkerRecord &Worker, double TookMs,
+                   double ExpectedMs) const;
   void noteSuccess(WorkerRecord &Worker) const;
   void noteFailure(TimePoint Now, WorkerRecord &Worker);
 
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -18,13 +18,13 @@
 
 /// Times of the orders to a worker, in milliseconds.
 struct WorkerSessionSettings {
-  double m_LeaseMs = 1000;       ///< Longest lease that a worker grants.
+  double m_LeaseMs = 1000;         ///< Longest lease that a worker grants.
   double m_LeaseClockShare = 0.03; ///< How much slower its clock may run.
-  double m_OrderTimeoutMs = 120; ///< An order without an answer is in doubt.
-  double m_RenewWaitMs = 250;    ///< A quarter of the lease: two may be lost.
-  double m_BusyWaitMs = 120;     ///< The same while a run is overdue.
-  double m_RenewSlackMs = 150;   ///< Longer than the wait: no answer.
-  double m_ProbeMs = 100;        ///< Pause before a silent worker's second probe.
+  double m_OrderTimeoutMs = 120;   ///< An order without an answer is in doubt.
+  double m_RenewWaitMs = 250;      ///< A quarter of the lease: two may be lost.
+  double m_BusyWaitMs = 120;       ///< The same while a run is overdue.
+  double m_RenewSlackMs = 150;     ///< Longer than the wait: no answer.
+  double m_ProbeMs = 100; ///< Pause before a silent worker's second probe.
   double m_MaxProbeMs = 800;
 };
 
@@ -81,7 +81,7 @@
     TaskRef m_Task;
     std::uint32_t m_Number = 0;
     bool m_Accepted = false;
-    bool m_InDoubt = false;  ///< The start was not answered.
+    bool m_InDoubt = false; ///< The start was not answered.
     bool m_StopWanted = false;
     bool m_StopPending = false;
     std::optional<TimePoint> m_StopConfirmed;
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -150,9 +150,6 @@
   case OrderAnswer::Unhealthy:
     return Refuse(RefusalReason::Unhealthy);
   case OrderAnswer::OtherIncarnation:
-    Refuse(RefusalReason::Unreachable);
-    onSilence();
-    return;
   case OrderAnswer::NotSent:
     Refuse(RefusalReason::Unreachable);
     onSilence();
@@ -248,8 +245,9 @@
   m_LastEndSent = m_LastEndSeen;
   m_Renewing = true;
   m_Probe.reset();
-  auto Timeout = Order.m_Wait +
-                 EventLoop::Duration(static_cast<int>(m_Settings.m_RenewSlackMs));
+  auto Timeout =
+      Order.m_Wait +
+      EventLoop::Duration(static_cast<int>(m_Settings.m_RenewSlackMs));
   std::weak_ptr<WorkerSession *> Weak = m_Self;
   m_Orders.renew(m_Spec, Order, Timeout, [Weak, Now](const RenewReply &Reply) {
     if (auto Self = Weak.lock())
@@ -330,8 +328,7 @@
       continue;
     // The list must be newer than what it is to disprove.
     bool Missing = Item.m_Accepted && Item.m_KnownSince < SentAt;
-    bool NeverStarted =
-        Item.m_StopConfirmed && *Item.m_StopConfirmed < SentAt;
+    bool NeverStarted = Item.m_StopConfirmed && *Item.m_StopConfirmed < SentAt;
     if (Missing || NeverStarted)
       Over.push_back(Id);
   }
@@ -374,8 +371,8 @@
 void WorkerSession<Transport>::probeLater() {
   if (m_Renewing)
     return;
-  m_Probe = m_Loop.once(
-      EventLoop::Duration(static_cast<int>(m_ProbePauseMs)), [this] { renew(); });
+  m_Probe = m_Loop.once(EventLoop::Duration(static_cast<int>(m_ProbePauseMs)),
+                        [this] { renew(); });
   m_ProbePauseMs = std::clamp(2 * m_ProbePauseMs, m_Settings.m_ProbeMs,
                               m_Settings.m_MaxProbeMs);
 }
@@ -396,9 +393,9 @@
   if (std::exchange(m_Over, true))
     return;
   m_Probe.reset();
-  m_Log.info("fenced", {{"worker", m_Spec.m_Id},
-                        {"token", m_Token},
-                        {"runs", m_Runs.size()}});
+  m_Log.info(
+      "fenced",
+      {{"worker", m_Spec.m_Id}, {"token", m_Token}, {"runs", m_Runs.size()}});
   m_Events.m_Fenced();
 }
 
--- a/include/auburnhub/Jobs/WorkerTransport.h
+++ b/include/auburnhub/Jobs/WorkerTransport.h
@@ -91,16 +91,17 @@
 /// Carries orders to workers. Calls return at once; the answer comes later,
 /// once, never from within the call.
 template <typename Type>
-concept WorkerTransport =
-    requires(Type &T, const WorkerSpec &To, const StartOrder &Start,
-             const StopOrder &Stop, const RenewOrder &Renew,
-             std::chrono::milliseconds Timeout,
-             std::function<void(OrderReply)> Ordered,
-             std::function<void(RenewReply)> Renewed) {
-      T.start(To, Start, Timeout, Ordered);
-      T.stop(To, Stop, Timeout, Ordered);
-      T.renew(To, Renew, Timeout, Renewed);
-    };
+concept WorkerTransport = requires(Type &T, const WorkerSpec &To,
+                                   const StartOrder &Start,
+                                   const StopOrder &Stop,
+                                   const RenewOrder &Renew,
+                                   std::chrono::milliseconds Timeout,
+                                   std::function<void(OrderReply)> Ordered,
+                                   std::function<void(RenewReply)> Renewed) {
+  T.start(To, Start, Timeout, Ordered);
+  T.stop(To, Stop, Timeout, Ordered);
+  T.renew(To, Renew, Timeout, Renewed);
+};
 
 } // namespace auburnhub
 
--- a/include/auburnhub/Net/LoopHttpClient.h
+++ b/include/auburnhub/Net/LoopHttpClient.h
@@ -32,8 +32,8 @@
   LoopHttpClient &operator=(const LoopHttpClient &) = delete;
 
   /// Sends a request. Done is called once, never from within this call.
-  void call(const Address &To, HttpRequest Request,
-            EventLoop::Duration Timeout, Done Done);
+  void call(const Address &To, HttpRequest Request, EventLoop::Duration Timeout,
+            Done Done);
 
   /// Closes the connections to an address that no call uses.
   void forget(const Address &To);
--- a/include/auburnhub/Node/JobRouter.h
+++ b/include/auburnhub/Node/JobRouter.h
@@ -20,7 +20,8 @@
   std::function<void(const std::string &Owner, std::uint64_t Call,
                      const JobRequest &)>
       m_Submit;
-  std::function<void(const std::string &Owner, const std::string &Job)> m_Cancel;
+  std::function<void(const std::string &Owner, const std::string &Job)>
+      m_Cancel;
   /// Tells whether a registered worker could ever hold every task of a job;
   /// true as well while no worker of the service is known.
   std::function<bool(const JobRequest &)> m_CouldEverRun;
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -61,7 +61,8 @@
   std::uint64_t submit(JobRequest Job, JobRouter::Done Done);
   void callerGone(std::uint64_t Call) { m_Router.callerGone(Call); }
   /// Cancels a job wherever it runs; Done tells whether it was known.
-  void cancel(const std::string &Job, std::function<void(bool Known)> Done);
+  void cancel(const std::string &Job,
+              const std::function<void(bool Known)> &Done);
   bool knows(const std::string &Job) const { return m_Router.knows(Job); }
 
   /// Hands shards over and takes no jobs of other nodes any more.
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -65,17 +65,19 @@
                 [this](const JobRequest &Job) { return couldEverRun(Job); }}),
       m_Started(EventLoop::now()), m_LastTick(m_Started),
       m_ClaimNotBefore(addMs(m_Started, nodetimes::SettleMs)),
-      m_Links(Loop,
-              NodeHello{m_Settings.m_Name, m_Settings.m_DataCentre,
-                        m_Settings.m_LinkAddress.str(),
-                        static_cast<std::uint64_t>(EventLoop::wallMilliseconds()),
-                        m_Settings.m_Weight,
-                        {}},
-              {[this](const NodeHello &Hello) { onPeerUp(Hello); },
-               [this](const std::string &Name) { onPeerDown(Name); },
-               [this](const std::string &From, const Envelope &Received) {
-                 onReceived(From, Received);
-               }}) {
+      m_Links(
+          Loop,
+          NodeHello{m_Settings.m_Name,
+                    m_Settings.m_DataCentre,
+                    m_Settings.m_LinkAddress.str(),
+                    static_cast<std::uint64_t>(EventLoop::wallMilliseconds()),
+                    m_Settings.m_Weight,
+                    {}},
+          {[this](const NodeHello &Hello) { onPeerUp(Hello); },
+           [this](const std::string &Name) { onPeerDown(Name); },
+           [this](const std::string &From, const Envelope &Received) {
+             onReceived(From, Received);
+           }}) {
   m_Tick = Loop.every(nodetimes::Heartbeat, [this] { tick(); });
 }
 
@@ -112,8 +114,7 @@
 }
 
 template <WorkerTransport Transport>
-std::uint64_t
-Node<Transport>::documentVersion(const std::string &Name) const {
+std::uint64_t Node<Transport>::documentVersion(const std::string &Name) const {
   auto Found = m_Documents.find(Name);
   return Found == m_Documents.end() ? 0 : Found->second.m_Version;
 }
@@ -277,7 +278,7 @@
 
 template <WorkerTransport Transport>
 void Node<Transport>::cancel(const std::string &Job,
-                             std::function<void(bool)> Done) {
+                             const std::function<void(bool)> &Done) {
   if (m_Host.cancel(Job)) {
     Done(true);
     return;
@@ -289,7 +290,7 @@
     return;
   }
   Cancelling &Item = m_Cancels[Id];
-  Item.m_Done = std::move(Done);
+  Item.m_Done = Done;
   Item.m_Outstanding = Asked;
   Item.m_Timer = m_Loop.once(nodetimes::CancelAnswerTime, [this, Id] {
     auto Node = m_Cancels.extract(Id);
@@ -327,14 +328,14 @@
     return true;
   return std::all_of(
       Job.m_Steps.begin(), Job.m_Steps.end(), [&](const JobStep &Step) {
-        return std::any_of(
-            m_Workers.begin(), m_Workers.end(), [&](const auto &Entry) {
-              const WorkerSpec &Spec = Entry.second;
-              return Spec.m_Service == Service &&
-                     Step.m_Each.fitsInto(Spec.m_Capacity) &&
-                     (Step.m_RequiredLabel.empty() ||
-                      Spec.hasLabel(Step.m_RequiredLabel));
-            });
+        return std::any_of(m_Workers.begin(), m_Workers.end(),
+                           [&](const auto &Entry) {
+                             const WorkerSpec &Spec = Entry.second;
+                             return Spec.m_Service == Service &&
+                                    Step.m_Each.fitsInto(Spec.m_Capacity) &&
+                                    (Step.m_RequiredLabel.empty() ||
+                                     Spec.hasLabel(Step.m_RequiredLabel));
+                           });
       });
 }
 
@@ -346,7 +347,8 @@
   if (Since > nodetimes::StalledMs) {
     // Others may have taken over meanwhile: hear them first.
     m_Log.warning("process_stalled", {{"for_ms", Since}});
-    m_ClaimNotBefore = std::max(m_ClaimNotBefore, addMs(Now, nodetimes::SettleMs));
+    m_ClaimNotBefore =
+        std::max(m_ClaimNotBefore, addMs(Now, nodetimes::SettleMs));
   }
   std::vector<std::string> Gone;
   for (const auto &[Id, At] : m_Removed) {
@@ -379,8 +381,8 @@
     Changed = true;
   }
   for (const ShardId &Shard : m_Shards.toRelease(Now)) {
-    m_Log.info("shard_releasing", {{"shard", Shard.str()},
-                                   {"draining", m_Draining}});
+    m_Log.info("shard_releasing",
+               {{"shard", Shard.str()}, {"draining", m_Draining}});
     m_Shards.ownClaim(Shard)->m_Releasing = true;
     Changed = true;
   }
@@ -464,10 +466,10 @@
     if (!Owners.contains(Name) || Other.m_Draining)
       m_Router.ownerClosed(Name);
   const auto &Own = m_Shards.ownClaims();
-  bool Takes = !m_Draining &&
-               std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
-                 return !Claim.m_Releasing;
-               });
+  bool Takes =
+      !m_Draining && std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
+        return !Claim.m_Releasing;
+      });
   if (Takes)
     m_Router.ownerUp(m_Settings.m_Name, m_Settings.m_DataCentre);
   else
@@ -497,7 +499,8 @@
 
 template <WorkerTransport Transport> void Node<Transport>::sendStatusSoon() {
   if (!m_StatusTimer)
-    m_StatusTimer = m_Loop.once(nodetimes::LoadUpdate, [this] { sendStatus(); });
+    m_StatusTimer =
+        m_Loop.once(nodetimes::LoadUpdate, [this] { sendStatus(); });
 }
 
 template <WorkerTransport Transport> void Node<Transport>::onHostChanged() {
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -71,7 +71,7 @@
   static constexpr std::string_view TypeName = "node_status";
   bool m_Draining = false;
   std::vector<ShardClaim> m_Claims;
-  std::uint64_t m_FreeSlots = 0;   ///< Tasks that could start now.
+  std::uint64_t m_FreeSlots = 0; ///< Tasks that could start now.
   std::uint64_t m_WaitingTasks = 0;
   /// Versions of the documents that the node has, by name.
   std::map<std::string, std::uint64_t> m_Documents;
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -35,7 +35,8 @@
 template <WorkerTransport Transport> class ShardHost {
 public:
   ShardHost(EventLoop &Loop, Transport &Orders, StateChart Chart,
-            const WorkerSessionSettings &Settings, JobParameters Parameters,
+            const WorkerSessionSettings &Settings,
+            const JobParameters &Parameters,
             MetricsRegistry &Metrics, ShardHostEvents Events);
 
   /// Holds exactly these workers. A worker that is no longer among them gets
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -15,7 +15,7 @@
 ShardHost<Transport>::ShardHost(EventLoop &Loop, Transport &Orders,
                                 StateChart Chart,
                                 const WorkerSessionSettings &Settings,
-                                JobParameters Parameters,
+                                const JobParameters &Parameters,
                                 MetricsRegistry &Metrics,
                                 ShardHostEvents Events)
     : m_Loop(Loop), m_Orders(Orders), m_Chart(std::move(Chart)),
@@ -37,8 +37,8 @@
     const std::map<std::string, HeldWorker> &Wanted) {
   for (auto &[Id, Item] : m_Held) {
     auto Found = Wanted.find(Id);
-    bool Keep = Found != Wanted.end() &&
-                Found->second.m_Token == Item.m_Worker.m_Token;
+    bool Keep =
+        Found != Wanted.end() && Found->second.m_Token == Item.m_Worker.m_Token;
     if (Keep && Found->second.m_Spec != Item.m_Worker.m_Spec) {
       Item.m_Worker.m_Spec = Found->second.m_Spec;
       Item.m_Session->update(Found->second.m_Spec);
@@ -124,12 +124,13 @@
   m_RunTime.add(Took / 1000);
   if (How != RunEnd::Done)
     m_Failures.add();
-  m_Log.info("run_ended", {{"task", Found->second.m_Task},
-                           {"worker", Found->second.m_Worker},
-                           {"how", runEndName(How)},
-                           {"took_ms", std::round(Took)},
-                           {"expected_ms", std::round(Found->second.m_ExpectedMs)},
-                           {"last_percent", Found->second.m_Percent}});
+  m_Log.info("run_ended",
+             {{"task", Found->second.m_Task},
+              {"worker", Found->second.m_Worker},
+              {"how", runEndName(How)},
+              {"took_ms", std::round(Took)},
+              {"expected_ms", std::round(Found->second.m_ExpectedMs)},
+              {"last_percent", Found->second.m_Percent}});
   m_Runs.erase(Found);
 }
 
@@ -213,8 +214,7 @@
   return m_Scheduler.freeSlots(EventLoop::now());
 }
 
-template <WorkerTransport Transport>
-void ShardHost<Transport>::schedulePump() {
+template <WorkerTransport Transport> void ShardHost<Transport>::schedulePump() {
   if (std::exchange(m_PumpPosted, true))
     return;
   m_Loop.post([this] {
@@ -226,7 +226,7 @@
 template <WorkerTransport Transport> void ShardHost<Transport>::pump() {
   std::vector<JobEffect> Effects = m_Scheduler.takeEffects();
   for (const JobEffect &Effect : Effects)
-    std::visit([this](const auto &Order) { carryOut(Order); }, Effect);
+    std::visit([this](const auto &Order) { this->carryOut(Order); }, Effect);
   letIdleGo();
   armTimer();
   m_Events.m_Changed();
@@ -245,15 +245,14 @@
   m_StartLatency.add(Order.m_WaitedMs / 1000);
   m_Runs[Order.m_Run] = {Order.m_Worker, Order.m_Task.str(), EventLoop::now(),
                          Order.m_ExpectedMs, 0};
-  m_Log.info("run_ordered",
-             {{"job", Order.m_Task.m_Job},
-              {"task", Order.m_Task.str()},
-              {"run", Order.m_Number},
-              {"worker", Order.m_Worker},
-              {"token", Found->second.m_Worker.m_Token},
-              {"candidates", Order.m_Candidates},
-              {"expected_ms", std::round(Order.m_ExpectedMs)},
-              {"waited_ms", std::round(Order.m_WaitedMs)}});
+  m_Log.info("run_ordered", {{"job", Order.m_Task.m_Job},
+                             {"task", Order.m_Task.str()},
+                             {"run", Order.m_Number},
+                             {"worker", Order.m_Worker},
+                             {"token", Found->second.m_Worker.m_Token},
+                             {"candidates", Order.m_Candidates},
+                             {"expected_ms", std::round(Order.m_ExpectedMs)},
+                             {"waited_ms", std::round(Order.m_WaitedMs)}});
   Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
                                  Order.m_Spec, Order.m_ExpectedMs);
 }
@@ -275,16 +274,15 @@
 
 template <WorkerTransport Transport>
 void ShardHost<Transport>::carryOut(const JobOver &Over) {
-  m_Log.info("job_over",
-             {{"job", Over.m_Job},
-              {"outcome", jobOutcomeName(Over.m_Result.m_Outcome)},
-              {"reason", jobReasonName(Over.m_Result.m_Reason)},
-              {"took_ms", std::round(Over.m_TookMs)},
-              {"waited_ms", std::round(Over.m_WaitedMs)},
-              {"objective_ms", std::round(Over.m_ObjectiveMs)},
-              {"runs", Over.m_Runs},
-              {"free_slots", freeSlots()},
-              {"waiting_tasks", waitingTasks()}});
+  m_Log.info("job_over", {{"job", Over.m_Job},
+                          {"outcome", jobOutcomeName(Over.m_Result.m_Outcome)},
+                          {"reason", jobReasonName(Over.m_Result.m_Reason)},
+                          {"took_ms", std::round(Over.m_TookMs)},
+                          {"waited_ms", std::round(Over.m_WaitedMs)},
+                          {"objective_ms", std::round(Over.m_ObjectiveMs)},
+                          {"runs", Over.m_Runs},
+                          {"free_slots", freeSlots()},
+                          {"waiting_tasks", waitingTasks()}});
   m_Events.m_JobOver(Over);
 }
 
