--- /dev/null
+++ b/Tests/Node/JobRouterTest.cpp
@@ -0,0 +1,182 @@
+#include "auburnhub/Node/JobRouter.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <vector>
+
+using namespace auburnhub;
+
+namespace {
+
+struct RouterFixture {
+  RouterFixture() {
+    RouterEffects Effects;
+    Effects.m_Submit = [this](const std::string &Owner, std::uint64_t Call,
+                              const JobRequest &Job) {
+      m_Sent.push_back({Owner, Call, Job.m_TimeLeftMs});
+    };
+    Effects.m_Cancel = [this](const std::string &Owner,
+                              const std::string &Job) {
+      m_Cancelled.emplace_back(Owner, Job);
+    };
+    Effects.m_CouldEverRun = [this](const JobRequest &) { return m_CouldRun; };
+    m_Router.emplace(m_Loop, "a", m_Metrics, Effects);
+  }
+
+  void owner(const std::string &Name, const std::string &DataCentre,
+             std::uint64_t Free) {
+    m_Router->ownerUp(Name, DataCentre);
+    m_Router->ownerLoad(Name, Free, 0);
+  }
+
+  std::uint64_t submit(const std::string &Id = "job", std::uint32_t Tasks = 4) {
+    JobRequest Job;
+    Job.m_Id = Id;
+    Job.m_Policy.m_Stretch = 1.6;
+    Job.m_Policy.m_TargetLatencyMs = 10000;
+    Job.m_TimeLeftMs = 60000;
+    JobStep Step;
+    Step.m_Count = Tasks;
+    Job.m_Steps.push_back(Step);
+    return m_Router->submit(
+        Job, [this](const JobResult &Result) { m_Results.push_back(Result); });
+  }
+
+  void answer(std::uint64_t Call, JobOutcome Outcome,
+              JobReason Reason = JobReason::None) {
+    JobAnswer Answer;
+    Answer.m_Call = Call;
+    Answer.m_Outcome = Outcome;
+    Answer.m_Reason = Reason;
+    m_Router->answered(Answer);
+  }
+
+  bool onlyResult(JobOutcome Outcome) const {
+    return m_Results.size() == 1 && m_Results[0].m_Outcome == Outcome;
+  }
+
+  struct Sent {
+    std::string m_Owner;
+    std::uint64_t m_Call;
+    double m_TimeLeftMs;
+  };
+  EventLoop m_Loop;
+  MetricsRegistry m_Metrics;
+  std::optional<JobRouter> m_Router;
+  std::vector<Sent> m_Sent;
+  std::vector<std::pair<std::string, std::string>> m_Cancelled;
+  std::vector<JobResult> m_Results;
+  bool m_CouldRun = true;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AJobRouter, RouterFixture)
+
+BOOST_AUTO_TEST_SUITE(ChoosesAnOwner)
+
+BOOST_AUTO_TEST_CASE(NearbyIfItHasRoomEnough) {
+  owner("far", "b", 30);
+  owner("near", "a", 5);
+  submit();
+  BOOST_REQUIRE(m_Sent.size() == 1U);
+  BOOST_TEST(m_Sent[0].m_Owner == "near");
+}
+
+BOOST_AUTO_TEST_CASE(FartherAwayIfOnlyThatHasRoom) {
+  owner("far", "b", 30);
+  owner("near", "a", 3);
+  submit();
+  BOOST_TEST(m_Sent[0].m_Owner == "far");
+}
+
+BOOST_AUTO_TEST_CASE(ReckoningWithWhatItHasSentItself) {
+  owner("far", "b", 30);
+  owner("near", "a", 7);
+  submit("one");
+  submit("two");
+  BOOST_REQUIRE(m_Sent.size() == 2U);
+  BOOST_TEST(m_Sent[0].m_Owner == "near");
+  BOOST_TEST(m_Sent[1].m_Owner == "far");
+}
+
+BOOST_AUTO_TEST_CASE(WhenTheFirstOneComesUp) {
+  submit();
+  BOOST_TEST(m_Sent.empty());
+  owner("near", "a", 7);
+  BOOST_TEST(m_Sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AgainWhenOneHasRefusedWithoutRunningIt) {
+  owner("near", "a", 7);
+  owner("far", "b", 7);
+  std::uint64_t Call = submit();
+  answer(Call, JobOutcome::NotRun, JobReason::NoRoom);
+  BOOST_REQUIRE(m_Sent.size() == 2U);
+  BOOST_TEST(m_Sent[1].m_Owner == "far");
+  answer(Call, JobOutcome::NotRun, JobReason::NoRoom);
+  BOOST_TEST(onlyResult(JobOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnswersOnce)
+
+BOOST_AUTO_TEST_CASE(WithWhatTheOwnerSays) {
+  owner("near", "a", 7);
+  std::uint64_t Call = submit();
+  answer(Call, JobOutcome::Completed);
+  answer(Call, JobOutcome::GivenUp);
+  BOOST_TEST(onlyResult(JobOutcome::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(ThatAJobMayHaveRunWhenItsOwnerIsLost) {
+  owner("near", "a", 7);
+  owner("far", "b", 7);
+  submit();
+  m_Router->ownerLost("near");
+  BOOST_TEST(onlyResult(JobOutcome::GivenUp));
+  BOOST_TEST(m_Sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ThatAJobHasNotRunWhenNobodyTookIt) {
+  submit();
+  m_Router->giveUpAll();
+  BOOST_TEST(onlyResult(JobOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(ThatAJobMayHaveRunWhenItMustEndBeforeTheOwnerAnswers) {
+  owner("near", "a", 7);
+  submit();
+  m_Router->giveUpAll();
+  BOOST_TEST(onlyResult(JobOutcome::GivenUp));
+  BOOST_TEST(m_Cancelled.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ThatAJobFailsWhichNoWorkerCouldEverRun) {
+  m_CouldRun = false;
+  submit();
+  BOOST_TEST(onlyResult(JobOutcome::Failed));
+  BOOST_TEST(m_Sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NobodyWhenTheCallerHasGoneAndCancelsTheJob) {
+  owner("near", "a", 7);
+  std::uint64_t Call = submit();
+  m_Router->callerGone(Call);
+  answer(Call, JobOutcome::Completed);
+  BOOST_TEST(m_Results.empty());
+  BOOST_REQUIRE(m_Cancelled.size() == 1U);
+  BOOST_TEST(m_Cancelled[0].first == "near");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(LeavesTheOwnerLessTimeThanTheCallerGrants) {
+  owner("near", "a", 7);
+  submit();
+  BOOST_TEST(m_Sent[0].m_TimeLeftMs < 60000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Node/ShardMapTest.cpp
@@ -0,0 +1,158 @@
+#include "auburnhub/Node/ShardMap.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace auburnhub;
+
+namespace {
+
+const ShardId ShardA{"a", 0};
+const ShardId ShardB{"b", 0};
+
+struct TwoDataCentres {
+  TwoDataCentres() {
+    for (int I = 0; I < 8; ++I) {
+      m_Workers.emplace_back("wa" + std::to_string(I), "a");
+      m_Workers.emplace_back("wb" + std::to_string(I), "b");
+    }
+    m_Map.setWorkers(m_Workers);
+  }
+
+  void up(const std::string &Name, const std::string &DataCentre,
+          double Weight = 1) {
+    NodeHello Hello;
+    Hello.m_Node = Name;
+    Hello.m_DataCentre = DataCentre;
+    Hello.m_Weight = Weight;
+    m_Map.nodeUp(m_Now, Hello);
+  }
+
+  void claims(const std::string &Name, const ShardId &Shard,
+              std::uint64_t Token, bool Releasing = false) {
+    NodeStatus Status;
+    Status.m_Claims.push_back({Shard, Token, Releasing, {}});
+    m_Map.nodeStatus(Name, Status);
+  }
+
+  std::vector<ShardId> toClaim() const { return m_Map.toClaim(m_Now); }
+
+  TimePoint m_Now = TimePoint(std::chrono::hours(1));
+  ShardMap m_Map{"n2", "a", 1};
+  std::vector<std::pair<std::string, std::string>> m_Workers;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AShardMap, TwoDataCentres)
+
+BOOST_AUTO_TEST_SUITE(ClaimsAShard)
+
+BOOST_AUTO_TEST_CASE(OfItsDataCentreThatHasNoOwner) {
+  up("n3", "b");
+  BOOST_TEST((toClaim() == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_CASE(OfAnotherDataCentreOnlyIfThatHasNoNode) {
+  BOOST_TEST((toClaim() == std::vector{ShardA, ShardB}));
+}
+
+BOOST_AUTO_TEST_CASE(NotWhileAnotherNodeHoldsIt) {
+  up("n3", "a");
+  up("n4", "b");
+  claims("n3", ShardA, 5);
+  BOOST_TEST(toClaim().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhenItsOwnerIsGone) {
+  up("n1", "a");
+  up("n4", "b");
+  claims("n1", ShardA, 5);
+  BOOST_TEST(toClaim().empty());
+  m_Map.nodeDown("n1");
+  BOOST_TEST((toClaim() == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_CASE(WhenItsOwnerHandsItOver) {
+  up("n1", "a");
+  up("n4", "b");
+  NodeStatus Status;
+  Status.m_Draining = true;
+  Status.m_Claims.push_back({ShardA, 5, true, {"wa1"}});
+  m_Map.nodeStatus("n1", Status);
+  BOOST_TEST((toClaim() == std::vector{ShardA}));
+  BOOST_TEST(m_Map.busyElsewhere(ShardA).contains("wa1"));
+}
+
+BOOST_AUTO_TEST_CASE(ThatABiggerNodeWouldNotTake) {
+  up("n4", "b");
+  up("n9", "a", 2);
+  BOOST_TEST(toClaim().empty());
+}
+
+BOOST_AUTO_TEST_CASE(NotWhileItDrains) {
+  m_Map.setDraining();
+  BOOST_TEST(toClaim().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(GivesAShardUp)
+
+BOOST_AUTO_TEST_CASE(ToAHigherToken) {
+  up("n3", "a");
+  m_Map.claimed(ShardA, 5);
+  claims("n3", ShardA, 6);
+  BOOST_TEST((m_Map.outbid() == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_CASE(ButNotToALowerOne) {
+  up("n3", "a");
+  m_Map.claimed(ShardA, 7);
+  claims("n3", ShardA, 6);
+  BOOST_TEST(m_Map.outbid().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ToOneOfTwoWithTheSameToken) {
+  up("n1", "a");
+  m_Map.claimed(ShardA, 6);
+  claims("n1", ShardA, 6);
+  BOOST_TEST((m_Map.outbid() == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_CASE(ToANodeOfItsDataCentreThatHasBeenUpForAWhile) {
+  m_Map.claimed(ShardB, 5);
+  up("n4", "b");
+  BOOST_TEST(m_Map.toRelease(m_Now).empty());
+  BOOST_TEST((m_Map.toRelease(addMs(m_Now, 5000)) == std::vector{ShardB}));
+}
+
+BOOST_AUTO_TEST_CASE(WhenItDrains) {
+  m_Map.claimed(ShardA, 5);
+  m_Map.setDraining();
+  BOOST_TEST((m_Map.toRelease(m_Now) == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(DividesManyWorkersAmongShards) {
+  for (int I = 0; I < 100; ++I)
+    m_Workers.emplace_back("x" + std::to_string(I), "a");
+  m_Map.setWorkers(m_Workers);
+  std::set<std::uint32_t> Seen;
+  for (const auto &[Worker, DataCentre] : m_Workers)
+    if (DataCentre == "a")
+      Seen.insert(m_Map.shardOf(Worker, DataCentre).m_Index);
+  BOOST_TEST(Seen.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(RemembersTheHighestTokenOfNodesThatAreGone) {
+  up("n3", "a");
+  claims("n3", ShardA, 77);
+  m_Map.nodeDown("n3");
+  BOOST_TEST(m_Map.highestToken() == 77U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Platform/DecodingTest.cpp
@@ -0,0 +1,195 @@
+#include "ExecutorOrders.h"
+#include "JobCalls.h"
+#include "Records.h"
+#include "StoreClient.h"
+
+#include "auburnhub/Base/Failure.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnhub;
+using namespace auburnhub::platform;
+
+namespace {
+
+const std::string Registration =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"z","state":"ready",)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1-3"]})";
+
+HttpResponse response(int Status, std::string Body) {
+  HttpResponse Result;
+  Result.m_Status = Status;
+  Result.m_Body = std::move(Body);
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Decoding)
+
+BOOST_AUTO_TEST_SUITE(ARegistration)
+
+BOOST_AUTO_TEST_CASE(TellsWhatTheWorkerHas) {
+  auto Spec = decodeRegistration("i-1", Registration);
+  BOOST_REQUIRE(Spec.has_value());
+  BOOST_TEST(Spec->m_Id == "i-1");
+  BOOST_TEST(Spec->m_Capacity.m_CpuMillis == 16000);
+  BOOST_TEST(Spec->m_Capacity.m_Gpus == 1);
+  BOOST_TEST(Spec->hasLabel("r1-3"));
+  BOOST_TEST(!Spec->m_Leaving);
+}
+
+BOOST_AUTO_TEST_CASE(OfAnotherWriterNamesNoWorker) {
+  BOOST_TEST(!decodeRegistration("i-1", "\xff\xfe").has_value());
+  BOOST_TEST(!decodeRegistration("i-1", "{}").has_value());
+  BOOST_TEST(!decodeRegistration("i-1", "[1,2]").has_value());
+  std::string Strange = Registration;
+  Strange.replace(Strange.find("ready"), 5, "asleep");
+  BOOST_TEST(!decodeRegistration("i-1", Strange).has_value());
+  std::string Mistyped = Registration;
+  Mistyped.replace(Mistyped.find("16000"), 5, "\"16\"");
+  BOOST_TEST(!decodeRegistration("i-1", Mistyped).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnOrdersAnswer)
+
+BOOST_AUTO_TEST_CASE(SaysWhetherTheOrderCanHaveArrived) {
+  BOOST_TEST((decodeOrderReply(absl::UnavailableError("")).m_Answer ==
+              OrderAnswer::NotSent));
+  BOOST_TEST((decodeOrderReply(absl::AbortedError("")).m_Answer ==
+              OrderAnswer::NoAnswer));
+  BOOST_TEST((decodeOrderReply(absl::DeadlineExceededError("")).m_Answer ==
+              OrderAnswer::NoAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(SaysWhyItWasRefused) {
+  auto Answer = [](int Status, const std::string &Reason) {
+    return decodeOrderReply(response(Status, R"({"clock_ms":5,"reason":")" +
+                                                 Reason + "\"}"));
+  };
+  BOOST_TEST((Answer(409, "fence").m_Answer == OrderAnswer::Fenced));
+  BOOST_TEST((Answer(409, "old").m_Answer == OrderAnswer::NumberUsed));
+  BOOST_TEST((Answer(409, "late").m_Answer == OrderAnswer::Expired));
+  BOOST_TEST((Answer(409, "room").m_Answer == OrderAnswer::NoRoom));
+  BOOST_TEST((Answer(503, "").m_Answer == OrderAnswer::Unhealthy));
+  BOOST_TEST((Answer(421, "").m_Answer == OrderAnswer::OtherIncarnation));
+  BOOST_TEST(Answer(409, "room").m_WorkerClockMs.value_or(0) == 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ARenewal)
+
+BOOST_AUTO_TEST_CASE(ListsRunsAndEnds) {
+  RenewReply Reply = decodeRenewReply(
+      response(200, R"({"clock_ms":9,"born":3,)"
+                    R"("running":[["aa.0.1.17",2,"",41]],)"
+                    R"("finished":[[58,"aa.0.1.9",1,"done",""]]})"));
+  BOOST_TEST((Reply.m_Answer == OrderAnswer::Accepted));
+  BOOST_REQUIRE(Reply.m_Running.size() == 1U);
+  BOOST_TEST((Reply.m_Running[0].m_Task == TaskRef{"aa", 1, 17}));
+  BOOST_REQUIRE(Reply.m_Ended.size() == 1U);
+  BOOST_TEST(Reply.m_Ended[0].m_Sequence == 58U);
+  BOOST_TEST((Reply.m_Ended[0].m_How == RunEnd::Done));
+}
+
+BOOST_AUTO_TEST_CASE(ThatCannotBeReadSaysNothing) {
+  for (const char *Body : {"", "[]", R"({"clock_ms":9})",
+                           R"({"clock_ms":9,"running":[[1]],"finished":[]})"})
+    BOOST_TEST((decodeRenewReply(response(200, Body)).m_Answer ==
+                OrderAnswer::NoAnswer));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(ATasksNameIsReadBack) {
+  TaskRef Task{"5c0e7a21d94b36f8", 2, 30};
+  BOOST_TEST((parseTaskName(taskName(Task)) == Task));
+  for (const char *Bad : {"", "a", "a.0.1", "a.0.x.1", "a.0.1.2.3", "a.0.1.-1"})
+    BOOST_TEST(!parseTaskName(Bad).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE(ALogsBody)
+
+BOOST_AUTO_TEST_CASE(YieldsKeysValuesAndTheNextOffset) {
+  std::string Body(16, '\0');
+  Body += encodeKeyedRecord("k", "value");
+  Body += encodeKeyedRecord("gone", "");
+  auto Batch = decodeLogBody(Body, 40);
+  BOOST_REQUIRE(Batch.ok());
+  BOOST_TEST(Batch->m_Next == 42U);
+  BOOST_REQUIRE(Batch->m_Records.size() == 2U);
+  BOOST_TEST(Batch->m_Records[0].m_Value.value_or("") == "value");
+  BOOST_TEST(!Batch->m_Records[1].m_Value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ThatIsCutOffIsAnError) {
+  std::string Body(16, '\0');
+  Body += encodeKeyedRecord("k", "value");
+  for (std::size_t Length : {0U, 10U, 18U, 24U})
+    BOOST_TEST(!decodeLogBody(Body.substr(0, Length), 0).ok());
+}
+
+BOOST_AUTO_TEST_CASE(PassesOverRecordsWithoutAKey) {
+  std::string Body(16, '\0');
+  Body += std::string("\0\0\0\0", 4) + std::string("\0\0\0\1\0", 5) +
+          encodeKeyedRecord("k", "v");
+  auto Batch = decodeLogBody(Body, 0);
+  BOOST_REQUIRE(Batch.ok());
+  BOOST_TEST(Batch->m_Next == 3U);
+  BOOST_TEST(Batch->m_Records.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AJob)
+
+struct Queue {
+  Queue() {
+    m_Queue.m_PathPrefix = "/q/";
+    m_Queue.m_TimeoutMs = 1500;
+    m_Request.m_Method = "POST";
+    m_Request.m_Path = "/q/5c0e7a21d94b36f8";
+  }
+  absl::StatusOr<JobRequest> decode(const std::string &Body) {
+    m_Request.m_Body = Body;
+    return decodeJob(m_Queue, m_Request);
+  }
+  QueueEntry m_Queue;
+  HttpRequest m_Request;
+};
+
+BOOST_FIXTURE_TEST_CASE(WaitsAsLongAsItsCallerSays, Queue) {
+  const char *Body =
+      R"({"spec":"x","best_effort":true,"steps":[{"count":2,"cpu":5}]})";
+  BOOST_TEST(decode(Body)->m_TimeLeftMs == 1500);
+  m_Request.m_Headers.set("X-Deadline-Ms", "20000");
+  BOOST_TEST(decode(Body)->m_TimeLeftMs == 20000);
+}
+
+BOOST_FIXTURE_TEST_CASE(ThatIsMalformedIsABadRequest, Queue) {
+  for (const char *Body :
+       {"", "{}", "[]", R"({"spec":1,"steps":[]})",
+        R"({"spec":"x","best_effort":true,"steps":[]})",
+        R"({"spec":"x","best_effort":true,"steps":[{"count":-1}]})",
+        R"({"spec":"x","best_effort":true,"steps":[{"count":4000000000}]})",
+        R"({"spec":"x","best_effort":true,"steps":[{"count":1,"after":[0]}]})"})
+    BOOST_TEST((failureCode(decode(Body).status()) == FailureCode::BadRequest));
+  m_Request.m_Path = "/q/short";
+  BOOST_TEST((failureCode(decode("{}").status()) == FailureCode::BadRequest));
+}
+
+BOOST_FIXTURE_TEST_CASE(ThatAsksForWhatIsNotServedIsToldSo, Queue) {
+  for (const char *Body :
+       {R"({"spec":"x","steps":[{"count":1}]})",
+        R"({"spec":"x","best_effort":true,"steps":[{"count":1,"gang":true}]})",
+        R"({"spec":"x","best_effort":true,"repeat_count":3,)"
+        R"("steps":[{"count":1}]})"})
+    BOOST_TEST((failureCode(decode(Body).status()) == FailureCode::NotFound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
