--- a/Tests/Platform/DecodingTest.cpp
+++ b/Tests/Platform/DecodingTest.cpp
@@ -190,6 +190,32 @@
     BOOST_TEST((failureCode(decode(Body).status()) == FailureCode::NotFound));
 }
 
+BOOST_FIXTURE_TEST_CASE(OfAQueueWithAPolicyIsToldThatItIsNotServed, Queue) {
+  m_Queue.m_Restricted = true;
+  absl::Status Status =
+      decode(R"({"spec":"x","best_effort":true,"steps":[{"count":1}]})")
+          .status();
+  BOOST_TEST((failureCode(Status) == FailureCode::NotFound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AConfiguration)
+
+BOOST_AUTO_TEST_CASE(MarksQueuesWithAPolicy) {
+  auto Taken = decodeConfiguration(
+      R"({"version":4,"routes":[{"name":"q","host":"h","path_prefix":"/q/",)"
+      R"("service":"s","advice":{"decide_ms":1,"each_ms":1,"valid_ms":9}}]})");
+  BOOST_REQUIRE(Taken.ok());
+  BOOST_TEST(Taken->m_Queues.m_Queues.at(0).m_Restricted);
+}
+
+BOOST_AUTO_TEST_CASE(ThatCannotBeReadIsAnError) {
+  for (const char *Text : {"", "[]", "{}", R"({"version":"x","routes":[]})",
+                           R"({"version":1,"routes":[{"name":"q"}]})"})
+    BOOST_TEST(!decodeConfiguration(Text).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Node/QueueTable.h
+++ b/include/auburnhub/Node/QueueTable.h
@@ -15,7 +15,9 @@
   QueuePolicy m_Policy;
   std::string m_Host;
   std::string m_PathPrefix;
-  double m_TimeoutMs = 0; ///< Most that a caller of the queue waits.
+  double m_TimeoutMs = 0; ///< For callers that do not say how long they wait.
+  /// Only some workers may run its tasks, by a policy that is not served here.
+  bool m_Restricted = false;
 };
 
 /// The queues of one version of the configuration.
