--- a/Source/Node/ShardMap.cpp
+++ b/Source/Node/ShardMap.cpp
@@ -31,14 +31,17 @@
   Added.m_UpSince = Now;
 }
 
-void ShardMap::nodeStatus(const std::string &Name, const NodeStatus &Status) {
+bool ShardMap::nodeStatus(const std::string &Name, const NodeStatus &Status) {
   auto Found = m_Nodes.find(Name);
-  if (Found == m_Nodes.end())
-    return;
+  if (Found == m_Nodes.end() ||
+      (Found->second.m_Draining == Status.m_Draining &&
+       Found->second.m_Claims == Status.m_Claims))
+    return false;
   Found->second.m_Draining = Status.m_Draining;
   Found->second.m_Claims = Status.m_Claims;
   for (const ShardClaim &Claim : Status.m_Claims)
     m_HighestToken = std::max(m_HighestToken, Claim.m_Token);
+  return true;
 }
 
 void ShardMap::nodeDown(const std::string &Name) { m_Nodes.erase(Name); }
--- a/Tests/Jobs/JobSchedulerPropertyTest.cpp
+++ b/Tests/Jobs/JobSchedulerPropertyTest.cpp
@@ -56,8 +56,8 @@
     if (Choice <= 2) {
       std::string Id = "job" + std::to_string(m_Submitted.size());
       m_Submitted.push_back(Id);
-      submit(job(Id, *rc::gen::inRange(1U, 5U), 5000,
-                 *rc::gen::inRange(20, 900)));
+      submit(
+          job(Id, *rc::gen::inRange(1U, 5U), 5000, *rc::gen::inRange(20, 900)));
       return;
     }
     if (Choice == 3) {
@@ -86,9 +86,9 @@
     m_Alive.erase(Run);
     if (Choice == 7) {
       m_EverOrdered[Gone.m_Task.m_Job].erase(Run);
-      refuse(Run, *rc::gen::element(RefusalReason::NoRoom,
-                                    RefusalReason::NumberUsed,
-                                    RefusalReason::Unhealthy));
+      refuse(Run,
+             *rc::gen::element(RefusalReason::NoRoom, RefusalReason::NumberUsed,
+                               RefusalReason::Unhealthy));
       return;
     }
     end(Run, *rc::gen::element(RunEnd::Done, RunEnd::Done, RunEnd::Failed,
--- a/Tests/Jobs/SchedulerFixture.h
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -71,7 +71,9 @@
   }
   void take(const StartRun &Order) { m_Starts.push_back(Order); }
   void take(const StopRun &Order) { m_Stops.push_back(Order.m_Run); }
-  void take(const JobOver &Over) { m_Over[Over.m_Job].push_back(Over.m_Result); }
+  void take(const JobOver &Over) {
+    m_Over[Over.m_Job].push_back(Over.m_Result);
+  }
 
   bool isOver(const std::string &Job, JobOutcome Outcome) const {
     auto Found = m_Over.find(Job);
--- a/Tests/Platform/DecodingTest.cpp
+++ b/Tests/Platform/DecodingTest.cpp
@@ -66,8 +66,8 @@
 
 BOOST_AUTO_TEST_CASE(SaysWhyItWasRefused) {
   auto Answer = [](int Status, const std::string &Reason) {
-    return decodeOrderReply(response(Status, R"({"clock_ms":5,"reason":")" +
-                                                 Reason + "\"}"));
+    return decodeOrderReply(
+        response(Status, R"({"clock_ms":5,"reason":")" + Reason + "\"}"));
   };
   BOOST_TEST((Answer(409, "fence").m_Answer == OrderAnswer::Fenced));
   BOOST_TEST((Answer(409, "old").m_Answer == OrderAnswer::NumberUsed));
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -107,6 +107,8 @@
 
   void tick();
   void updateOwnership();
+  /// The same once, after the events that are already waiting.
+  void updateOwnershipSoon();
   void claim(const ShardId &Shard);
   void reconcile();
   void updateRouter();
@@ -133,6 +135,7 @@
   TimePoint m_ClaimNotBefore;
   double m_FencePauseMs = 0;
   bool m_Draining = false;
+  bool m_UpdatePosted = false;
   TimePoint m_StatusSent;
   std::uint64_t m_SentFree = 0;
   EventLoop::Timer m_Tick;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -98,7 +98,7 @@
                                  {"leaving", Spec.m_Leaving},
                                  {"workers", m_Workers.size()}});
   It->second = Spec;
-  updateOwnership();
+  updateOwnershipSoon();
 }
 
 template <WorkerTransport Transport>
@@ -192,14 +192,14 @@
 template <WorkerTransport Transport>
 void Node<Transport>::onStatus(const std::string &From,
                                const NodeStatus &Status) {
-  m_Shards.nodeStatus(From, Status);
+  bool Changed = m_Shards.nodeStatus(From, Status);
   for (const auto &[Name, Version] : Status.m_Documents)
     if (Name == "configuration" && Version > documentVersion(Name) &&
         EventLoop::now() - m_Started > nodetimes::Heartbeat)
       m_Links.send(From, DocumentRequest{Name, documentVersion(Name)});
-  updateRouter();
+  if (Changed)
+    updateOwnership();
   m_Router.ownerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
-  updateOwnership();
 }
 
 // Jobs.
@@ -366,6 +366,16 @@
   sendStatus();
 }
 
+template <WorkerTransport Transport>
+void Node<Transport>::updateOwnershipSoon() {
+  if (std::exchange(m_UpdatePosted, true))
+    return;
+  m_Loop.post([this] {
+    m_UpdatePosted = false;
+    updateOwnership();
+  });
+}
+
 template <WorkerTransport Transport> void Node<Transport>::updateOwnership() {
   TimePoint Now = EventLoop::now();
   std::vector<std::pair<std::string, std::string>> Workers;
@@ -511,7 +521,7 @@
     return Claim.m_Releasing;
   });
   if (Releasing)
-    m_Loop.post([this] { updateOwnership(); });
+    updateOwnershipSoon();
   std::uint64_t Free = m_Host.freeSlots();
   if (Free != m_SentFree)
     sendStatusSoon();
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -58,6 +58,7 @@
   /// workers that are not listed as busy.
   bool m_Releasing = false;
   std::vector<std::string> m_Busy;
+  bool operator==(const ShardClaim &) const = default;
   template <typename Visitor> void fields(Visitor &V) {
     V("shard", m_Shard);
     V("token", m_Token);
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -36,8 +36,8 @@
 public:
   ShardHost(EventLoop &Loop, Transport &Orders, StateChart Chart,
             const WorkerSessionSettings &Settings,
-            const JobParameters &Parameters,
-            MetricsRegistry &Metrics, ShardHostEvents Events);
+            const JobParameters &Parameters, MetricsRegistry &Metrics,
+            ShardHostEvents Events);
 
   /// Holds exactly these workers. A worker that is no longer among them gets
   /// nothing new and is let go once it is idle.
--- a/include/auburnhub/Node/ShardMap.h
+++ b/include/auburnhub/Node/ShardMap.h
@@ -35,7 +35,8 @@
 
   // What is known of others.
   void nodeUp(TimePoint Now, const NodeHello &Hello);
-  void nodeStatus(const std::string &Name, const NodeStatus &Status);
+  /// Returns whether the node's claims, or whether it drains, have changed.
+  bool nodeStatus(const std::string &Name, const NodeStatus &Status);
   void nodeDown(const std::string &Name);
   const std::map<std::string, Node> &nodes() const { return m_Nodes; }
 
