--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -14,6 +14,12 @@
 
 namespace auburnhub {
 
+/// Names of the documents that nodes hand each other.
+namespace nodedocuments {
+inline constexpr const char *Configuration = "configuration";
+inline constexpr const char *Workers = "workers";
+} // namespace nodedocuments
+
 /// Who a node is and how it works.
 struct NodeSettings {
   std::string m_Name;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -144,6 +144,10 @@
 void Node<Transport>::onPeerUp(const NodeHello &Hello) {
   m_Shards.nodeUp(EventLoop::now(), Hello);
   m_Links.send(Hello.m_Node, status());
+  // A node that has just started need not wait for the platform to answer.
+  for (const char *Name : {nodedocuments::Configuration, nodedocuments::Workers})
+    if (documentVersion(Name) == 0)
+      m_Links.send(Hello.m_Node, DocumentRequest{Name, 0});
 }
 
 template <WorkerTransport Transport>
@@ -194,7 +198,7 @@
                                const NodeStatus &Status) {
   bool Changed = m_Shards.nodeStatus(From, Status);
   for (const auto &[Name, Version] : Status.m_Documents)
-    if (Name == "configuration" && Version > documentVersion(Name) &&
+    if (Name == nodedocuments::Configuration && Version > documentVersion(Name) &&
         EventLoop::now() - m_Started > nodetimes::Heartbeat)
       m_Links.send(From, DocumentRequest{Name, documentVersion(Name)});
   if (Changed)
