Node: Let a stopping owner serve on while nobody can take over

Change: a stopping node hands a shard over when another node can take it, and at the latest when the balancer has stopped sending callers. Two cases of ShardMapTest replace WhenItDrains: with another node up the same is expected as before; without one the shards are kept until they must be handed over.

--- a/Source/Node/ShardMap.cpp
+++ b/Source/Node/ShardMap.cpp
@@ -145,13 +145,20 @@
   return Result;
 }
 
+bool ShardMap::anotherTakesOver() const {
+  return std::any_of(m_Nodes.begin(), m_Nodes.end(), [](const auto &Entry) {
+    return !Entry.second.m_Draining;
+  });
+}
+
 std::vector<ShardId> ShardMap::toRelease(TimePoint Now) const {
   std::vector<ShardId> Result;
   for (const ShardClaim &Claim : m_Own) {
     if (Claim.m_Releasing)
       continue;
     if (m_Draining) {
-      Result.push_back(Claim.m_Shard);
+      if (m_HandingOver || anotherTakesOver())
+        Result.push_back(Claim.m_Shard);
       continue;
     }
     if (m_DataCentre == Claim.m_Shard.m_DataCentre)
--- a/Tests/Node/ShardMapTest.cpp
+++ b/Tests/Node/ShardMapTest.cpp
@@ -129,9 +129,22 @@
   BOOST_TEST((m_Map.toRelease(addMs(m_Now, 5000)) == std::vector{ShardB}));
 }
 
-BOOST_AUTO_TEST_CASE(WhenItDrains) {
+BOOST_AUTO_TEST_CASE(WhenItDrainsAndAnotherCanTakeIt) {
+  up("n3", "b");
+  m_Map.claimed(ShardA, 5);
+  m_Map.setDraining();
+  BOOST_TEST((m_Map.toRelease(m_Now) == std::vector{ShardA}));
+}
+
+BOOST_AUTO_TEST_CASE(ButNotWhileAllOthersDrainToo) {
+  up("n3", "b");
+  NodeStatus Status;
+  Status.m_Draining = true;
+  m_Map.nodeStatus("n3", Status);
   m_Map.claimed(ShardA, 5);
   m_Map.setDraining();
+  BOOST_TEST(m_Map.toRelease(m_Now).empty());
+  m_Map.setHandingOver();
   BOOST_TEST((m_Map.toRelease(m_Now) == std::vector{ShardA}));
 }
 
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -71,8 +71,11 @@
               const std::function<void(bool Known)> &Done);
   bool knows(const std::string &Job) const { return m_Router.knows(Job); }
 
-  /// Hands shards over and takes no jobs of other nodes any more.
+  /// Hands shards over as soon as another node can take them; while none can,
+  /// jobs are run on.
   void drain();
+  /// Hands all shards over: the process ends soon.
+  void handOver();
   /// Answers every caller at once; for a stop that cannot wait any longer.
   void giveUpAll() { m_Router.giveUpAll(); }
   /// Returns whether nothing is left that a stop would cut.
@@ -118,6 +121,7 @@
   void claim(const ShardId &Shard);
   void reconcile();
   void updateRouter();
+  bool takesJobs() const;
   void sendStatus();
   void sendStatusSoon();
   NodeStatus status() const;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -145,7 +145,8 @@
   m_Shards.nodeUp(EventLoop::now(), Hello);
   m_Links.send(Hello.m_Node, status());
   // A node that has just started need not wait for the platform to answer.
-  for (const char *Name : {nodedocuments::Configuration, nodedocuments::Workers})
+  for (const char *Name :
+       {nodedocuments::Configuration, nodedocuments::Workers})
     if (documentVersion(Name) == 0)
       m_Links.send(Hello.m_Node, DocumentRequest{Name, 0});
 }
@@ -198,7 +199,8 @@
                                const NodeStatus &Status) {
   bool Changed = m_Shards.nodeStatus(From, Status);
   for (const auto &[Name, Version] : Status.m_Documents)
-    if (Name == nodedocuments::Configuration && Version > documentVersion(Name) &&
+    if (Name == nodedocuments::Configuration &&
+        Version > documentVersion(Name) &&
         EventLoop::now() - m_Started > nodetimes::Heartbeat)
       m_Links.send(From, DocumentRequest{Name, documentVersion(Name)});
   if (Changed)
@@ -245,7 +247,7 @@
     Known->second = From;
     return;
   }
-  if (m_Draining || !m_Host.holdsAny()) {
+  if (!takesJobs()) {
     answer(From, {JobOutcome::NotRun,
                   m_Draining ? JobReason::Stopping : JobReason::NoOwner, 0});
     return;
@@ -477,19 +479,20 @@
     m_Router.ownerUp(Name, m_Shards.nodes().at(Name).m_DataCentre);
   }
   for (const auto &[Name, Other] : m_Shards.nodes())
-    if (!Owners.contains(Name) || Other.m_Draining)
+    if (!Owners.contains(Name))
       m_Router.ownerClosed(Name);
-  const auto &Own = m_Shards.ownClaims();
-  bool Takes =
-      !m_Draining && std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
-        return !Claim.m_Releasing;
-      });
-  if (Takes)
+  if (takesJobs())
     m_Router.ownerUp(m_Settings.m_Name, m_Settings.m_DataCentre);
   else
     m_Router.ownerClosed(m_Settings.m_Name);
 }
 
+template <WorkerTransport Transport> bool Node<Transport>::takesJobs() const {
+  const auto &Own = m_Shards.ownClaims();
+  return std::any_of(Own.begin(), Own.end(),
+                     [](const auto &Claim) { return !Claim.m_Releasing; });
+}
+
 template <WorkerTransport Transport>
 NodeStatus Node<Transport>::status() const {
   NodeStatus Result;
@@ -540,6 +543,11 @@
   sendStatus();
 }
 
+template <WorkerTransport Transport> void Node<Transport>::handOver() {
+  m_Shards.setHandingOver();
+  updateOwnership();
+}
+
 template <WorkerTransport Transport> bool Node<Transport>::drained() const {
   return m_Router.calls() == 0 && m_Host.jobs() == 0 &&
          m_Shards.ownClaims().empty();
--- a/include/auburnhub/Node/ShardMap.h
+++ b/include/auburnhub/Node/ShardMap.h
@@ -47,7 +47,11 @@
   ShardId shardOf(std::string_view Worker, const std::string &DataCentre) const;
 
   // What this node does.
+  /// Claims nothing more, and hands shards over once another node can take
+  /// them.
   void setDraining() { m_Draining = true; }
+  /// Hands all shards over, whether another node can take them or not.
+  void setHandingOver() { m_HandingOver = true; }
   void claimed(const ShardId &Shard, std::uint64_t Token);
   void lost(const ShardId &Shard);
   const std::vector<ShardClaim> &ownClaims() const { return m_Own; }
@@ -77,11 +81,13 @@
   std::optional<std::string> preferred(const ShardId &Shard,
                                        TimePoint Now) const;
   bool hasOwner(const ShardId &Shard) const;
+  bool anotherTakesOver() const;
 
   std::string m_Self;
   std::string m_DataCentre;
   double m_Weight;
   bool m_Draining = false;
+  bool m_HandingOver = false;
   std::map<std::string, Node> m_Nodes;
   std::map<std::string, std::uint32_t> m_ShardsOf; ///< By data centre.
   std::vector<ShardClaim> m_Own;
