Jobs: Take the size of the first task as typical; read failures back in tests

Cause: ThatWasRefusedForWantOfRoom found an owner that said it had free slots while it was full: the size of a typical task began at one core and moved by a tenth a job, so entries believed in room that was not there for the first twenty jobs of an owner.

Change: the first task's size counts whole. Three tests cause the failures that OPERATIONS.md explains and read their lines back.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -90,9 +90,7 @@
         std::max(Item.m_ExpectedMs, expectedMs(Item.m_Request.m_Policy, Step));
     Fits = Fits &&
            m_Workers.couldEverHold(Item.m_Request.m_Policy.m_Service, Step);
-    m_TypicalTask.m_CpuMillis += static_cast<std::int64_t>(
-        SizeWeight * static_cast<double>(Step.m_Each.m_CpuMillis -
-                                         m_TypicalTask.m_CpuMillis));
+    learnSize(Step.m_Each);
     for (std::uint32_t I = 0; I < Step.m_Count; ++I) {
       Task &Added = Item.m_Tasks.emplace_back();
       Added.m_Ref = {Id, S, I};
@@ -118,6 +116,14 @@
   advance(Now);
 }
 
+void JobScheduler::learnSize(const Resources &Each) {
+  auto Seen = static_cast<double>(Each.m_CpuMillis);
+  auto Typical = static_cast<double>(m_TypicalTask.m_CpuMillis);
+  double Weight = std::exchange(m_SizeKnown, true) ? SizeWeight : 1;
+  m_TypicalTask.m_CpuMillis =
+      static_cast<std::int64_t>(Typical + Weight * (Seen - Typical));
+}
+
 void JobScheduler::unblock(Job &Item) {
   std::vector<std::size_t> LeftOfStep(Item.m_Request.m_Steps.size());
   for (const Task &T : Item.m_Tasks)
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -283,4 +283,43 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ExplainsAFailedRequestByItsLog)
+
+BOOST_FIXTURE_TEST_CASE(ThatWasRefusedForWantOfRoom, OneNode) {
+  executor(0).behaviour().m_Hangs = true;
+  executor(1).behaviour().m_Hangs = true;
+  auto First = submit(0, JobA, 4, 15000);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 4; }));
+  auto Refused = submit(0, JobB, 1);
+  BOOST_REQUIRE(until([&] { return Refused->has(503); }));
+  BOOST_TEST(loggedOf(0, JobB, "job_over", "runs") == 0);
+  BOOST_TEST(loggedOf(0, JobB, "job_over", "free_slots") == 0);
+  BOOST_TEST(loggedOf(0, JobB, "job_answered", "reason") == "no_room");
+  BOOST_TEST(loggedOf(0, JobB, "job_answered", "owner") == "node-0");
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoseOwnerWasLost, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Lost = submit(1, JobA, 1);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 1; }));
+  auto Owner = loggedOf(1, JobA, "job_routed", "owner");
+  signal(0, SIGKILL);
+  BOOST_REQUIRE(until([&] { return Lost->has(504); }));
+  BOOST_TEST(Owner == "node-0");
+  BOOST_TEST(loggedOf(1, JobA, "job_answered", "reason") == "owner_lost");
+  BOOST_TEST(loggedOf(1, "", "peer_down", "peer") == Owner);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoseTaskFailedAsOftenAsItMay, OneNode) {
+  executor(0).behaviour().m_Fails = true;
+  executor(1).behaviour().m_Fails = true;
+  auto Failed = submit(0, JobA, 1);
+  BOOST_REQUIRE(until([&] { return Failed->has(200); }));
+  BOOST_TEST(loggedOf(0, JobA, "job_answered", "reason") == "attempts_spent");
+  BOOST_TEST(loggedOf(0, JobA, "run_ended", "how") == "failed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -106,6 +106,23 @@
   m_Nodes.push_back(*std::move(Started));
 }
 
+nlohmann::json PlatformCluster::loggedOf(std::size_t Index,
+                                         const std::string &Job,
+                                         const std::string &Event,
+                                         const std::string &Field) {
+  nlohmann::json Found;
+  until([&] {
+    for (const std::string &Text : log(Index)) {
+      auto Line = nlohmann::json::parse(Text, nullptr, false);
+      if (Line.is_object() && Line.value("event", "") == Event &&
+          Text.find(Job) != std::string::npos)
+        Found = Line.value(Field, nlohmann::json());
+    }
+    return !Found.is_null();
+  });
+  return Found;
+}
+
 bool PlatformCluster::until(const std::function<bool()> &Condition) {
   TimePoint Begin = EventLoop::now();
   while (!Condition()) {
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -36,6 +36,11 @@
     return m_Nodes[Index]->lines();
   }
 
+  /// Waits until a node has logged an event of a job, and returns a field of
+  /// it. An empty job stands for any.
+  nlohmann::json loggedOf(std::size_t Index, const std::string &Job,
+                          const std::string &Event, const std::string &Field);
+
   void publishConfiguration(std::uint64_t Version,
                             const std::string &PathPrefix = Prefix);
   void registerExecutor(const FakeExecutor &Executor,
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -163,6 +163,7 @@
 
   double expectedMs(const QueuePolicy &Policy, const JobStep &Step) const;
   Rank rank(TimePoint Now, const Job &Item, double BestSpeed) const;
+  void learnSize(const Resources &Each);
   void unblock(Job &Item);
   void startWaiting(TimePoint Now);
   bool startTasks(TimePoint Now, Job &Item);
@@ -190,6 +191,7 @@
   };
   std::map<std::string, QueueModel> m_Queues;
   Resources m_TypicalTask;
+  bool m_SizeKnown = false;
   RunId m_LastRun = 0;
   std::vector<JobEffect> m_Effects;
 };
