Tests: Evaluate the conditions of the random histories before they are checked

Cause: AddressSanitizer found a read past a map's end in the property over random events: the library's assertion macro evaluates both sides of a condition that the code meant to cut short.

--- a/Tests/Jobs/JobSchedulerPropertyTest.cpp
+++ b/Tests/Jobs/JobSchedulerPropertyTest.cpp
@@ -30,8 +30,10 @@
 
   void finish() {
     pass(6000);
-    for (const std::string &Job : m_Submitted)
-      RC_ASSERT(m_Over.contains(Job) && m_Over.at(Job).size() == 1U);
+    for (const std::string &Job : m_Submitted) {
+      RC_ASSERT(m_Over.contains(Job));
+      RC_ASSERT(m_Over.at(Job).size() == 1U);
+    }
   }
 
 private:
@@ -109,8 +111,10 @@
       RC_ASSERT(Results.size() == 1U);
       auto Ordered = m_EverOrdered.find(Job);
       // "Not run" is said only of jobs of which every order was refused.
+      bool Untouched =
+          Ordered == m_EverOrdered.end() || Ordered->second.empty();
       if (Results[0].m_Outcome == JobOutcome::NotRun)
-        RC_ASSERT(Ordered == m_EverOrdered.end() || Ordered->second.empty());
+        RC_ASSERT(Untouched);
     }
   }
 
