Node, Jobs: Split what had grown; drop what nothing uses

NodeImpl.h and JobScheduler.cpp are divided by job: what a node does about shards, and what a scheduler makes of the events of its runs, have files of their own. Two functions of the HTTP client and two parameters that nothing used are gone. No change of behaviour.

--- /dev/null
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -0,0 +1,180 @@
+#include "auburnhub/Jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+/// \file
+/// What a JobScheduler makes of the events of its runs.
+
+namespace auburnhub {
+namespace {
+
+/// Run numbers skipped when a worker has seen a higher one: more than a task
+/// is started within one submission.
+constexpr std::uint32_t NumberStep = 16;
+
+/// Share of its expected time that the rest of a job must still be given
+/// before the caller's deadline; below it the job is hopeless.
+constexpr double HopelessShare = 0.4;
+
+} // namespace
+
+void JobScheduler::freeRun(RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  if (WorkerRecord *Worker = m_Workers.find(Found->second.m_Worker)) {
+    Worker->m_Free += Found->second.m_Used;
+    --Worker->m_Running;
+  }
+  m_Runs.erase(Found);
+}
+
+void JobScheduler::requeue(TimePoint Now, Job &Item, Task &Which) {
+  Which.m_State = TaskState::Waiting;
+  Which.m_Run = 0;
+  ++Item.m_Waiting;
+  double LeftMs = millisecondsBetween(Now, Item.m_Deadline);
+  if (LeftMs < HopelessShare * Item.m_ExpectedMs)
+    finish(Now, Item, JobOutcome::GivenUp, JobReason::TimedOut);
+}
+
+void JobScheduler::runAccepted(TimePoint Now, RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Found->second.m_Accepted = true;
+  Found->second.m_Started = Now;
+}
+
+void JobScheduler::runRefused(TimePoint Now, RunId Id, RefusalReason Why) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Run Item = Found->second;
+  freeRun(Id);
+  WorkerRecord *Worker = m_Workers.find(Item.m_Worker);
+  if (Worker && Why != RefusalReason::NumberUsed)
+    Worker->m_PausedUntil = addMs(Now, m_Parameters.m_RefusalPauseMs);
+  if (Worker && Why == RefusalReason::Unhealthy)
+    m_Workers.noteFailure(Now, *Worker);
+  auto Owner = m_Jobs.find(Item.m_Job);
+  if (!Item.m_Detached && Owner != m_Jobs.end()) {
+    Job &Of = *Owner->second;
+    Task &Which = Of.m_Tasks[Item.m_Task];
+    --Of.m_PossibleStarts;
+    if (Why == RefusalReason::NumberUsed)
+      Which.m_LastNumber += NumberStep;
+    if (Why == RefusalReason::Invalid)
+      taskFailed(Now, Of, Which, Item.m_Worker);
+    else
+      requeue(Now, Of, Which);
+  }
+  advance(Now);
+}
+
+void JobScheduler::learn(const Run &Item, TimePoint Now) {
+  double Took = millisecondsBetween(Item.m_Started, Now);
+  WorkerRecord *Worker = m_Workers.find(Item.m_Worker);
+  double Speed = Worker ? Worker->m_Speed : 1;
+  QueueModel &Model = m_Queues[Item.m_Queue];
+  ++Model.m_Samples;
+  double Weight = std::max(m_Parameters.m_RunTimeWeight,
+                           1 / static_cast<double>(Model.m_Samples));
+  Model.m_MeanMs += Weight * (Took * Speed - Model.m_MeanMs);
+  if (Worker) {
+    m_Workers.noteRunTime(*Worker, Took, Item.m_BaseMs);
+    m_Workers.noteSuccess(*Worker);
+  }
+}
+
+void JobScheduler::runEnded(TimePoint Now, RunId Id, RunEnd How) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Run Item = Found->second;
+  if (How == RunEnd::Done)
+    learn(Item, Now);
+  freeRun(Id);
+  auto Owner = m_Jobs.find(Item.m_Job);
+  if (!Item.m_Detached && Owner != m_Jobs.end()) {
+    Job &Of = *Owner->second;
+    Task &Which = Of.m_Tasks[Item.m_Task];
+    if (How == RunEnd::Done)
+      taskDone(Now, Of, Which);
+    else if (How == RunEnd::Failed)
+      taskFailed(Now, Of, Which, Item.m_Worker);
+    else
+      requeue(Now, Of, Which);
+  }
+  advance(Now);
+}
+
+void JobScheduler::runAbandoned(TimePoint Now, RunId Id) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  auto Owner = m_Jobs.find(Found->second.m_Job);
+  if (!Found->second.m_Detached && Owner != m_Jobs.end())
+    finish(Now, *Owner->second, JobOutcome::GivenUp, JobReason::OwnerLost);
+  freeRun(Id);
+}
+
+void JobScheduler::taskDone(TimePoint Now, Job &Item, Task &Which) {
+  Which.m_State = TaskState::Done;
+  Which.m_Run = 0;
+  --Item.m_Left;
+  if (Item.m_Left == 0)
+    finish(Now, Item, JobOutcome::Completed, JobReason::None);
+  else
+    unblock(Item);
+}
+
+void JobScheduler::taskFailed(TimePoint Now, Job &Item, Task &Which,
+                              const std::string &Worker) {
+  // A task that has failed elsewhere says little about this worker.
+  WorkerRecord *Record = m_Workers.find(Worker);
+  if (Record && Which.m_Failures == 0)
+    m_Workers.noteFailure(Now, *Record);
+  ++Which.m_Failures;
+  Which.m_Avoid.insert(Worker);
+  if (Which.m_Failures >= Item.m_Request.m_Policy.m_MaxAttempts) {
+    finish(Now, Item, JobOutcome::Failed, JobReason::AttemptsSpent);
+    return;
+  }
+  requeue(Now, Item, Which);
+}
+
+void JobScheduler::runProgress(TimePoint Now, RunId Id, double Percent) {
+  auto Found = m_Runs.find(Id);
+  if (Found == m_Runs.end())
+    return;
+  Found->second.m_Percent = Percent;
+  Found->second.m_ProgressAt = Now;
+}
+
+void JobScheduler::checkStalled(TimePoint Now) {
+  std::vector<RunId> Stalled;
+  for (auto &[Id, Item] : m_Runs) {
+    if (!Item.m_Accepted || Item.m_Stopping || Item.m_Stalled)
+      continue;
+    double Limit = std::max(m_Parameters.m_MinStalledMs,
+                            m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
+    // The progress must have been read after the limit.
+    if (millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
+        Item.m_Percent < m_Parameters.m_StalledPercent)
+      Stalled.push_back(Id);
+  }
+  for (RunId Id : Stalled) {
+    Run &Item = m_Runs.at(Id);
+    Item.m_Stalled = true;
+    if (WorkerRecord *Worker = m_Workers.find(Item.m_Worker))
+      m_Workers.noteFailure(Now, *Worker);
+    auto Owner = m_Jobs.find(Item.m_Job);
+    if (Owner != m_Jobs.end())
+      Owner->second->m_Tasks[Item.m_Task].m_Avoid.insert(Item.m_Worker);
+    stopRun(Item, Id, JobReason::None);
+  }
+}
+
+} // namespace auburnhub
--- a/Source/Net/LoopHttpClient.cpp
+++ b/Source/Net/LoopHttpClient.cpp
@@ -67,7 +67,6 @@
 
   EventLoop &m_Loop;
   std::map<Address, std::vector<std::unique_ptr<Connection>>> m_Idle;
-  std::uint64_t m_Opened = 0;
 };
 
 /// One call, from taking a connection to its answer.
@@ -112,7 +111,6 @@
       finishLater(absl::UnavailableError("not an IP number"));
       return;
     }
-    ++m_Pool->m_Opened;
     m_Connection->m_Socket.async_connect(
         Tcp::endpoint(Ip, m_To.m_Port),
         [Self = shared_from_this()](boost::system::error_code Failed) {
@@ -206,10 +204,4 @@
   Call->start(std::move(Request), Timeout);
 }
 
-void LoopHttpClient::forget(const Address &To) { m_Pool->m_Idle.erase(To); }
-
-std::uint64_t LoopHttpClient::connectionsOpened() const {
-  return m_Pool->m_Opened;
-}
-
 } // namespace auburnhub
--- a/Source/Node/ShardMap.cpp
+++ b/Source/Node/ShardMap.cpp
@@ -109,8 +109,7 @@
   });
 }
 
-std::optional<std::string> ShardMap::preferred(const ShardId &Shard,
-                                               TimePoint) const {
+std::optional<std::string> ShardMap::preferred(const ShardId &Shard) const {
   std::vector<Candidate> Home;
   std::vector<Candidate> Any;
   auto Consider = [&](std::string_view Name, const std::string &DataCentre,
@@ -134,12 +133,12 @@
   return std::string(From[Shard.m_Index % From.size()].m_Name);
 }
 
-std::vector<ShardId> ShardMap::toClaim(TimePoint Now) const {
+std::vector<ShardId> ShardMap::toClaim() const {
   std::vector<ShardId> Result;
   for (const auto &[DataCentre, Shards] : m_ShardsOf)
     for (std::uint32_t I = 0; I < Shards; ++I) {
       ShardId Shard{DataCentre, I};
-      if (!hasOwner(Shard) && preferred(Shard, Now) == m_Self)
+      if (!hasOwner(Shard) && preferred(Shard) == m_Self)
         Result.push_back(Shard);
     }
   return Result;
@@ -163,7 +162,7 @@
     }
     if (m_DataCentre == Claim.m_Shard.m_DataCentre)
       continue;
-    auto Home = preferred(Claim.m_Shard, Now);
+    auto Home = preferred(Claim.m_Shard);
     auto Found = Home ? m_Nodes.find(*Home) : m_Nodes.end();
     if (Found != m_Nodes.end() &&
         Found->second.m_DataCentre == Claim.m_Shard.m_DataCentre &&
--- a/Tests/Node/ShardMapTest.cpp
+++ b/Tests/Node/ShardMapTest.cpp
@@ -37,7 +37,7 @@
     m_Map.nodeStatus(Name, Status);
   }
 
-  std::vector<ShardId> toClaim() const { return m_Map.toClaim(m_Now); }
+  std::vector<ShardId> toClaim() const { return m_Map.toClaim(); }
 
   TimePoint m_Now = TimePoint(std::chrono::hours(1));
   ShardMap m_Map{"n2", "a", 1};
--- a/include/auburnhub/Net/LoopHttpClient.h
+++ b/include/auburnhub/Net/LoopHttpClient.h
@@ -7,7 +7,6 @@
 
 #include "absl/status/statusor.h"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,12 +34,6 @@
   void call(const Address &To, HttpRequest Request, EventLoop::Duration Timeout,
             Done Done);
 
-  /// Closes the connections to an address that no call uses.
-  void forget(const Address &To);
-
-  /// Returns how many connections were opened so far.
-  std::uint64_t connectionsOpened() const;
-
 private:
   class Exchange;
   struct Pool;
--- /dev/null
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -0,0 +1,204 @@
+#ifndef AUBURNHUB_NODE_NODEOWNERSHIPIMPL_H
+#define AUBURNHUB_NODE_NODEOWNERSHIPIMPL_H
+
+#include "auburnhub/Node/NodeImpl.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+/// \file
+/// What a Node does about shards: claims, hands over, and tells its load.
+
+namespace auburnhub {
+
+template <WorkerTransport Transport> void Node<Transport>::tick() {
+  TimePoint Now = EventLoop::now();
+  double Since = millisecondsBetween(std::exchange(m_LastTick, Now), Now);
+  if (Since > nodetimes::StalledMs) {
+    // Others may have taken over meanwhile: hear them first.
+    m_Log.warning("process_stalled", {{"for_ms", Since}});
+    m_ClaimNotBefore =
+        std::max(m_ClaimNotBefore, addMs(Now, nodetimes::SettleMs));
+  }
+  std::vector<std::string> Gone;
+  for (const auto &[Id, At] : m_Removed) {
+    double Lapsed = millisecondsBetween(At, Now);
+    if (Lapsed > nodetimes::LapsedEntryMs ||
+        !m_Host.answered(Id, addMs(Now, -nodetimes::LapsedEntryMs)))
+      Gone.push_back(Id);
+  }
+  for (const std::string &Id : Gone) {
+    m_Removed.erase(Id);
+    m_Workers.erase(Id);
+    m_Log.info("worker_gone", {{"worker", Id}, {"workers", m_Workers.size()}});
+  }
+  updateOwnership();
+  sendStatus();
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::updateOwnershipSoon() {
+  if (std::exchange(m_UpdatePosted, true))
+    return;
+  m_Loop.post([this] {
+    m_UpdatePosted = false;
+    updateOwnership();
+  });
+}
+
+template <WorkerTransport Transport> void Node<Transport>::updateOwnership() {
+  TimePoint Now = EventLoop::now();
+  std::vector<std::pair<std::string, std::string>> Workers;
+  Workers.reserve(m_Workers.size());
+  for (const auto &[Id, Spec] : m_Workers)
+    Workers.emplace_back(Id, Spec.m_DataCentre);
+  m_Shards.setWorkers(Workers);
+  bool Changed = false;
+  for (const ShardId &Shard : m_Shards.outbid()) {
+    m_Log.info("shard_outbid", {{"shard", Shard.str()}});
+    m_Shards.lost(Shard);
+    m_Host.dropShard(Shard);
+    Changed = true;
+  }
+  for (const ShardId &Shard : m_Shards.toRelease(Now)) {
+    m_Log.info("shard_releasing",
+               {{"shard", Shard.str()}, {"draining", m_Draining}});
+    m_Shards.ownClaim(Shard)->m_Releasing = true;
+    Changed = true;
+  }
+  if (Now >= m_ClaimNotBefore && m_WorkersRead && !m_Draining)
+    for (const ShardId &Shard : m_Shards.toClaim()) {
+      claim(Shard);
+      Changed = true;
+    }
+  std::vector<ShardId> Released;
+  for (const ShardClaim &Claim : m_Shards.ownClaims()) {
+    if (!Claim.m_Releasing)
+      continue;
+    std::vector<std::string> Busy = m_Host.busyWorkers(Claim.m_Shard);
+    ShardClaim *Own = m_Shards.ownClaim(Claim.m_Shard);
+    Changed = Changed || Busy != Own->m_Busy;
+    Own->m_Busy = std::move(Busy);
+    if (Own->m_Busy.empty())
+      Released.push_back(Claim.m_Shard);
+  }
+  for (const ShardId &Shard : Released) {
+    m_Log.info("shard_released", {{"shard", Shard.str()}});
+    m_Shards.lost(Shard);
+    Changed = true;
+  }
+  reconcile();
+  updateRouter();
+  if (Changed)
+    sendStatus();
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::claim(const ShardId &Shard) {
+  auto Clock = static_cast<std::uint64_t>(EventLoop::wallMilliseconds());
+  std::uint64_t Token =
+      std::max(Clock, m_Shards.highestToken() / nodetimes::TokensPerMs + 1) *
+          nodetimes::TokensPerMs +
+      std::hash<std::string>{}(m_Settings.m_Name) % nodetimes::TokensPerMs;
+  m_Shards.claimed(Shard, Token);
+  m_Log.info("shard_claimed", {{"shard", Shard.str()},
+                               {"token", Token},
+                               {"peers", m_Links.linksUp()},
+                               {"workers", m_Workers.size()}});
+}
+
+template <WorkerTransport Transport> void Node<Transport>::reconcile() {
+  std::map<std::string, HeldWorker> Wanted;
+  for (const ShardClaim &Claim : m_Shards.ownClaims()) {
+    if (Claim.m_Releasing)
+      continue;
+    std::set<std::string> Busy = m_Shards.busyElsewhere(Claim.m_Shard);
+    for (const auto &[Id, Spec] : m_Workers)
+      if (m_Shards.shardOf(Id, Spec.m_DataCentre) == Claim.m_Shard &&
+          !Busy.contains(Id))
+        Wanted[Id] = {Spec, Claim.m_Shard, Claim.m_Token};
+  }
+  m_Host.reconcile(Wanted);
+}
+
+template <WorkerTransport Transport>
+void Node<Transport>::onFenced(const ShardId &Shard) {
+  if (!m_Shards.ownClaim(Shard))
+    return;
+  m_FencePauseMs = std::clamp(2 * m_FencePauseMs, nodetimes::MinFencePauseMs,
+                              nodetimes::MaxFencePauseMs);
+  m_Log.warning("shard_fenced",
+                {{"shard", Shard.str()}, {"pause_ms", m_FencePauseMs}});
+  m_ClaimNotBefore = addMs(EventLoop::now(), m_FencePauseMs);
+  m_Shards.lost(Shard);
+  m_Host.dropShard(Shard);
+  updateOwnership();
+  sendStatus();
+}
+
+template <WorkerTransport Transport> void Node<Transport>::updateRouter() {
+  std::set<std::string> Owners;
+  for (const std::string &Name : m_Shards.owners()) {
+    Owners.insert(Name);
+    m_Router.ownerUp(Name, m_Shards.nodes().at(Name).m_DataCentre);
+  }
+  for (const auto &[Name, Other] : m_Shards.nodes())
+    if (!Owners.contains(Name))
+      m_Router.ownerClosed(Name);
+  if (takesJobs())
+    m_Router.ownerUp(m_Settings.m_Name, m_Settings.m_DataCentre);
+  else
+    m_Router.ownerClosed(m_Settings.m_Name);
+}
+
+template <WorkerTransport Transport> bool Node<Transport>::takesJobs() const {
+  const auto &Own = m_Shards.ownClaims();
+  return std::any_of(Own.begin(), Own.end(),
+                     [](const auto &Claim) { return !Claim.m_Releasing; });
+}
+
+template <WorkerTransport Transport>
+NodeStatus Node<Transport>::status() const {
+  NodeStatus Result;
+  Result.m_Draining = m_Draining;
+  Result.m_Claims = m_Shards.ownClaims();
+  Result.m_FreeSlots = m_Host.freeSlots();
+  Result.m_WaitingTasks = m_Host.waitingTasks();
+  for (const auto &[Name, Item] : m_Documents)
+    Result.m_Documents[Name] = Item.m_Version;
+  return Result;
+}
+
+template <WorkerTransport Transport> void Node<Transport>::sendStatus() {
+  m_StatusTimer.reset();
+  m_StatusSent = EventLoop::now();
+  NodeStatus Now = status();
+  m_SentFree = Now.m_FreeSlots;
+  m_Router.ownerLoad(m_Settings.m_Name, Now.m_FreeSlots, Now.m_WaitingTasks);
+  m_Links.broadcast(Now);
+}
+
+template <WorkerTransport Transport> void Node<Transport>::sendStatusSoon() {
+  if (!m_StatusTimer)
+    m_StatusTimer =
+        m_Loop.once(nodetimes::LoadUpdate, [this] { sendStatus(); });
+}
+
+template <WorkerTransport Transport> void Node<Transport>::onHostChanged() {
+  m_Router.ownerLoad(m_Settings.m_Name, m_Host.freeSlots(),
+                     m_Host.waitingTasks());
+  const auto &Own = m_Shards.ownClaims();
+  bool Releasing = std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
+    return Claim.m_Releasing;
+  });
+  if (Releasing)
+    updateOwnershipSoon();
+  std::uint64_t Free = m_Host.freeSlots();
+  if (Free != m_SentFree)
+    sendStatusSoon();
+}
+
+} // namespace auburnhub
+
+#endif
--- a/include/auburnhub/Node/ShardMap.h
+++ b/include/auburnhub/Node/ShardMap.h
@@ -58,7 +58,7 @@
   ShardClaim *ownClaim(const ShardId &Shard);
 
   /// Returns the shards that this node should claim now.
-  std::vector<ShardId> toClaim(TimePoint Now) const;
+  std::vector<ShardId> toClaim() const;
   /// Returns own shards that are to be handed over.
   std::vector<ShardId> toRelease(TimePoint Now) const;
   /// Returns own shards that another node holds under a higher token.
@@ -78,8 +78,7 @@
     std::string_view m_Name;
     double m_Weight;
   };
-  std::optional<std::string> preferred(const ShardId &Shard,
-                                       TimePoint Now) const;
+  std::optional<std::string> preferred(const ShardId &Shard) const;
   bool hasOwner(const ShardId &Shard) const;
   bool anotherTakesOver() const;
 
