Tests: Give the nodes of a test addresses that no connection can take

The port had been free when the fixture looked and was taken by an outgoing connection on 127.0.0.1 before the node listened. Nodes now listen on a loopback address of the test's own process.

Measured: PlatformTest passes, 39 cases.

--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 namespace auburnhub::platform {
 namespace {
@@ -14,11 +15,17 @@
 /// A test that waits longer has failed.
 constexpr double GenerousMs = 20000;
 
+/// Returns a free address. Its host is this process's own, so that no outgoing
+/// connection takes the port before a node listens on it.
 Address freeAddress(EventLoop &Loop) {
+  constexpr int Values = 250;
+  int Pid = getpid();
+  std::string Host = "127." + std::to_string(1 + Pid / Values % Values) + "." +
+                     std::to_string(1 + Pid % Values) + ".1";
   boost::asio::ip::tcp::acceptor Probe(
-      Loop.io(), boost::asio::ip::tcp::endpoint(
-                     boost::asio::ip::make_address("127.0.0.1"), 0));
-  return {"127.0.0.1", Probe.local_endpoint().port()};
+      Loop.io(),
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Host), 0));
+  return {Host, Probe.local_endpoint().port()};
 }
 
 } // namespace
