--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -68,32 +68,41 @@
   return std::max(1.0, Model.m_MeanMs * std::sqrt(Relative));
 }
 
-void JobScheduler::submit(TimePoint Now, JobRequest Request) {
-  std::string Id = Request.m_Id;
+std::unique_ptr<JobScheduler::Job>
+JobScheduler::makeJob(TimePoint Now, JobRequest Request) const {
   auto Owned = std::make_unique<Job>();
   Job &Item = *Owned;
   Item.m_Request = std::move(Request);
   Item.m_Submitted = Now;
   Item.m_Deadline = addMs(Now, Item.m_Request.m_TimeLeftMs);
+  for (const JobStep &Step : Item.m_Request.m_Steps)
+    Item.m_ExpectedMs =
+        std::max(Item.m_ExpectedMs, expectedMs(Item.m_Request.m_Policy, Step));
+  const QueuePolicy &Policy = Item.m_Request.m_Policy;
+  Item.m_ObjectiveMs =
+      Policy.m_Stretch * Item.m_ExpectedMs + Policy.m_TargetLatencyMs;
+  Item.m_WaitUntil =
+      addMs(Now, std::max(0.0, m_Parameters.m_WaitShare * Item.m_ObjectiveMs -
+                                   m_Parameters.m_PathMs));
+  return Owned;
+}
+
+void JobScheduler::submit(TimePoint Now, JobRequest Request) {
+  std::string Id = Request.m_Id;
+  auto Owned = makeJob(Now, std::move(Request));
+  Job &Item = *Owned;
   bool Fits = true;
   for (std::uint32_t S = 0; S < Item.m_Request.m_Steps.size(); ++S) {
     const JobStep &Step = Item.m_Request.m_Steps[S];
-    Item.m_ExpectedMs =
-        std::max(Item.m_ExpectedMs, expectedMs(Item.m_Request.m_Policy, Step));
     Fits = Fits &&
            m_Workers.couldEverHold(Item.m_Request.m_Policy.m_Service, Step);
     learnSize(Step.m_Each);
     for (std::uint32_t I = 0; I < Step.m_Count; ++I) {
       Task &Added = Item.m_Tasks.emplace_back();
       Added.m_Ref = {Id, S, I};
+      Added.m_Step = S;
     }
   }
-  const QueuePolicy &Policy = Item.m_Request.m_Policy;
-  Item.m_ObjectiveMs =
-      Policy.m_Stretch * Item.m_ExpectedMs + Policy.m_TargetLatencyMs;
-  Item.m_WaitUntil =
-      addMs(Now, std::max(0.0, m_Parameters.m_WaitShare * Item.m_ObjectiveMs -
-                                   m_Parameters.m_PathMs));
   Item.m_Left = Item.m_Tasks.size();
   if (m_Jobs.contains(Id))
     cancel(Now, Id);
@@ -108,6 +117,62 @@
   advance(Now);
 }
 
+void JobScheduler::submit(TimePoint Now, const StoredTask &Stored) {
+  JobRequest Request;
+  Request.m_Id = Stored.task().str();
+  Request.m_Policy = Stored.m_Policy;
+  Request.m_Spec = Stored.m_Spec;
+  Request.m_Steps = {Stored.m_Step};
+  Request.m_Steps.front().m_Count = 1;
+  Request.m_TimeLeftMs = m_Parameters.m_StoredTaskMs;
+  std::string Id = Request.m_Id;
+  auto Owned = makeJob(Now, std::move(Request));
+  Job &Item = *Owned;
+  Item.m_Stored = true;
+  Item.m_StoredNumber = Stored.m_Number;
+  // Its age counts for its place in the order, not for how long it may wait.
+  Item.m_Submitted = addMs(Now, -Stored.m_AgeMs);
+  Item.m_WaitUntil = addMs(Now, m_Parameters.m_StoredWaitMs);
+  Task &Only = Item.m_Tasks.emplace_back();
+  Only.m_Ref = Stored.task();
+  Only.m_LastNumber = Stored.m_Number - 1;
+  Only.m_Avoid.insert(Stored.m_Avoid.begin(), Stored.m_Avoid.end());
+  Item.m_Left = 1;
+  bool Fits = m_Workers.couldEverHold(Stored.m_Policy.m_Service, Stored.m_Step);
+  bool Refused =
+      m_Jobs.contains(Id) || !Fits || m_Jobs.size() >= m_Parameters.m_MaxJobs;
+  if (Refused) {
+    m_Effects.emplace_back(
+        StoredTaskOver{Only.m_Ref, Stored.m_Number, StoredRunEnd::NotRun,
+                       Fits ? JobReason::NoRoom : JobReason::NeverFits, ""});
+    return;
+  }
+  learnSize(Stored.m_Step.m_Each);
+  m_Jobs[Id] = std::move(Owned);
+  unblock(Item);
+  advance(Now);
+}
+
+void JobScheduler::cancel(TimePoint Now, const TaskRef &StoredTask) {
+  auto Found = m_Jobs.find(StoredTask.str());
+  if (Found == m_Jobs.end())
+    return;
+  Job &Item = *Found->second;
+  auto Run = m_Runs.find(Item.m_Tasks.front().m_Run);
+  if (Item.m_Tasks.front().m_Run == 0 || Run == m_Runs.end())
+    finishStored(Item, StoredRunEnd::NotRun, JobReason::Cancelled, "");
+  else
+    stopRun(Run->second, Run->first, JobReason::Cancelled);
+  advance(Now);
+}
+
+void JobScheduler::finishStored(Job &Item, StoredRunEnd How, JobReason Reason,
+                                const std::string &Worker) {
+  m_Effects.emplace_back(StoredTaskOver{
+      Item.m_Tasks.front().m_Ref, Item.m_StoredNumber, How, Reason, Worker});
+  m_Jobs.erase(Item.m_Request.m_Id);
+}
+
 void JobScheduler::learnSize(const Resources &Each) {
   auto Seen = static_cast<double>(Each.m_CpuMillis);
   auto Typical = static_cast<double>(m_TypicalTask.m_CpuMillis);
@@ -120,12 +185,14 @@
   std::vector<std::size_t> LeftOfStep(Item.m_Request.m_Steps.size());
   for (const Task &T : Item.m_Tasks)
     if (T.m_State != TaskState::Done)
-      ++LeftOfStep[T.m_Ref.m_Step];
+      ++LeftOfStep[T.m_Step];
   for (Task &T : Item.m_Tasks) {
     if (T.m_State != TaskState::Blocked)
       continue;
-    const auto &After = Item.m_Request.m_Steps[T.m_Ref.m_Step].m_After;
-    if (std::all_of(After.begin(), After.end(),
+    const auto &After = Item.m_Request.m_Steps[T.m_Step].m_After;
+    // Earlier steps of a stored job are done when its task comes.
+    if (Item.m_Stored ||
+        std::all_of(After.begin(), After.end(),
                     [&](std::uint32_t S) { return LeftOfStep[S] == 0; })) {
       T.m_State = TaskState::Waiting;
       ++Item.m_Waiting;
@@ -177,16 +244,19 @@
 void JobScheduler::checkDeadlines(TimePoint Now) {
   std::vector<std::pair<Job *, JobReason>> Over;
   for (auto &[Id, Item] : m_Jobs) {
-    if (Now >= Item->m_Deadline)
+    if (Now >= Item->m_Deadline && !Item->m_Stored)
       Over.emplace_back(Item.get(), JobReason::TimedOut);
     else if (!Item->m_FirstStart && Now >= Item->m_WaitUntil)
       Over.emplace_back(Item.get(), JobReason::NoRoom);
   }
   for (auto [Item, Reason] : Over)
-    finish(Now, *Item,
-           Item->m_PossibleStarts > 0 ? JobOutcome::GivenUp
-                                      : JobOutcome::NotRun,
-           Reason);
+    if (Item->m_Stored)
+      finishStored(*Item, StoredRunEnd::NotRun, Reason, "");
+    else
+      finish(Now, *Item,
+             Item->m_PossibleStarts > 0 ? JobOutcome::GivenUp
+                                        : JobOutcome::NotRun,
+             Reason);
 }
 
 void JobScheduler::advance(TimePoint Now) {
@@ -241,21 +311,27 @@
   return true;
 }
 
+std::uint32_t JobScheduler::tasksOfStepOn(const Task &Which,
+                                          const std::string &Worker) const {
+  auto IsCounted = [&](const auto &Entry) {
+    const Run &Other = Entry.second;
+    return Other.m_Worker == Worker && Other.m_Ref.m_Job == Which.m_Ref.m_Job &&
+           Other.m_Ref.m_Step == Which.m_Ref.m_Step;
+  };
+  return static_cast<std::uint32_t>(
+      std::count_if(m_Runs.begin(), m_Runs.end(), IsCounted));
+}
+
 bool JobScheduler::startTask(TimePoint Now, Job &Item, std::size_t Index) {
   Task &Which = Item.m_Tasks[Index];
-  const JobStep &Step = Item.m_Request.m_Steps[Which.m_Ref.m_Step];
+  const JobStep &Step = Item.m_Request.m_Steps[Which.m_Step];
   TaskNeeds Needs;
   Needs.m_Service = Item.m_Request.m_Policy.m_Service;
   Needs.m_Step = &Step;
   Needs.m_ExpectedMs = expectedMs(Item.m_Request.m_Policy, Step);
   Needs.m_Avoid = &Which.m_Avoid;
   Needs.m_OnWorker = [&](const std::string &Worker) {
-    return static_cast<std::uint32_t>(std::count_if(
-        Item.m_Tasks.begin(), Item.m_Tasks.end(), [&](const Task &T) {
-          auto Found = m_Runs.find(T.m_Run);
-          return T.m_Run != 0 && T.m_Ref.m_Step == Which.m_Ref.m_Step &&
-                 Found != m_Runs.end() && Found->second.m_Worker == Worker;
-        }));
+    return tasksOfStepOn(Which, Worker);
   };
   std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Needs);
   if (!Choice && !Which.m_Avoid.empty()) {
@@ -277,6 +353,7 @@
     Item.m_FirstStart = Now;
   Run &Added = m_Runs[Which.m_Run];
   Added.m_Job = Item.m_Request.m_Id;
+  Added.m_Ref = Which.m_Ref;
   Added.m_Task = Index;
   Added.m_Worker = Worker.m_Spec.m_Id;
   Added.m_Used = Step.m_Each;
@@ -299,6 +376,7 @@
   Order.m_ExpectedMs = Added.m_ExpectedMs;
   Order.m_Candidates = Choice->m_Candidates;
   Order.m_WaitedMs = millisecondsBetween(Item.m_Submitted, Now);
+  Order.m_Stored = Item.m_Stored;
   m_Effects.emplace_back(std::move(Order));
   return true;
 }
@@ -310,7 +388,8 @@
       Next = At;
   };
   for (const auto &[Id, Item] : m_Jobs) {
-    Consider(Item->m_Deadline);
+    if (!Item->m_Stored)
+      Consider(Item->m_Deadline);
     if (!Item->m_FirstStart)
       Consider(Item->m_WaitUntil);
   }
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -65,7 +65,9 @@
     --Of.m_PossibleStarts;
     if (Why == RefusalReason::NumberUsed)
       Which.m_LastNumber += NumberStep;
-    if (Why == RefusalReason::Invalid)
+    if (Of.m_Stored)
+      finishStored(Of, StoredRunEnd::NotRun, JobReason::NoRoom, Item.m_Worker);
+    else if (Why == RefusalReason::Invalid)
       taskFailed(Now, Of, Which, Item.m_Worker);
     else
       requeue(Now, Of, Which);
@@ -100,7 +102,9 @@
   if (!Item.m_Detached && Owner != m_Jobs.end()) {
     Job &Of = *Owner->second;
     Task &Which = Of.m_Tasks[Item.m_Task];
-    if (How == RunEnd::Done)
+    if (Of.m_Stored)
+      storedRunEnded(Now, Of, Item.m_Worker, How);
+    else if (How == RunEnd::Done)
       taskDone(Now, Of, Which);
     else if (How == RunEnd::Failed)
       taskFailed(Now, Of, Which, Item.m_Worker);
@@ -115,11 +119,28 @@
   if (Found == m_Runs.end())
     return;
   auto Owner = m_Jobs.find(Found->second.m_Job);
-  if (!Found->second.m_Detached && Owner != m_Jobs.end())
+  bool Known = !Found->second.m_Detached && Owner != m_Jobs.end();
+  if (Known && Owner->second->m_Stored)
+    finishStored(*Owner->second, StoredRunEnd::InDoubt, JobReason::OwnerLost,
+                 Found->second.m_Worker);
+  else if (Known)
     finish(Now, *Owner->second, JobOutcome::GivenUp, JobReason::OwnerLost);
   freeRun(Id);
 }
 
+void JobScheduler::storedRunEnded(TimePoint Now, Job &Item,
+                                  const std::string &Worker, RunEnd How) {
+  WorkerRecord *Record = m_Workers.find(Worker);
+  if (How == RunEnd::Failed && Record && Item.m_Tasks.front().m_Avoid.empty())
+    m_Workers.noteFailure(Now, *Record);
+  StoredRunEnd End = StoredRunEnd::Over;
+  if (How == RunEnd::Done)
+    End = StoredRunEnd::Done;
+  if (How == RunEnd::Failed)
+    End = StoredRunEnd::Failed;
+  finishStored(Item, End, JobReason::None, Worker);
+}
+
 void JobScheduler::taskDone(TimePoint Now, Job &Item, Task &Which) {
   Which.m_State = TaskState::Done;
   Which.m_Run = 0;
--- a/Source/Node/JobRouter.cpp
+++ b/Source/Node/JobRouter.cpp
@@ -28,27 +28,20 @@
 
 JobRouter::JobRouter(EventLoop &Loop, std::string DataCentre,
                      MetricsRegistry &Metrics, RouterEffects Effects)
-    : m_Loop(Loop), m_DataCentre(std::move(DataCentre)),
-      m_Effects(std::move(Effects)), m_Metrics(Metrics),
+    : m_Loop(Loop), m_Effects(std::move(Effects)),
+      m_Owners(std::move(DataCentre)), m_Metrics(Metrics),
       m_Latency(Metrics.latency("auburnhub_job_seconds",
                                 "From receipt of a job to its answer")) {}
 
 void JobRouter::ownerUp(const std::string &Name,
                         const std::string &DataCentre) {
-  auto [It, Added] = m_Owners.try_emplace(Name);
-  It->second.m_DataCentre = DataCentre;
-  if (Added)
+  if (m_Owners.put(Name, DataCentre))
     routeWaiting();
 }
 
 void JobRouter::ownerLoad(const std::string &Name, std::uint64_t FreeSlots,
                           std::uint64_t WaitingTasks) {
-  auto Found = m_Owners.find(Name);
-  if (Found == m_Owners.end())
-    return;
-  Found->second.m_FreeSlots = static_cast<double>(FreeSlots);
-  Found->second.m_WaitingTasks = static_cast<double>(WaitingTasks);
-  Found->second.m_SentSince = 0;
+  m_Owners.setLoad(Name, FreeSlots, WaitingTasks);
 }
 
 void JobRouter::ownerClosed(const std::string &Name) { m_Owners.erase(Name); }
@@ -87,33 +80,10 @@
   return Id;
 }
 
-std::optional<std::string> JobRouter::choose(const Call &Item) const {
-  std::optional<std::string> Best;
-  double BestRoom = 0;
-  bool BestNear = false;
-  for (const auto &[Name, Candidate] : m_Owners) {
-    if (Item.m_Tried.contains(Name))
-      continue;
-    double Room = Candidate.m_FreeSlots - Candidate.m_WaitingTasks -
-                  Candidate.m_SentSince;
-    bool Near = Candidate.m_DataCentre == m_DataCentre;
-    bool Enough = Room >= Item.m_Tasks;
-    bool BestEnough = Best && BestRoom >= Item.m_Tasks;
-    bool Better = !Best || (Enough && !BestEnough) ||
-                  (Enough == BestEnough &&
-                   (Enough && Near != BestNear ? Near : Room > BestRoom));
-    if (!Better)
-      continue;
-    Best = Name;
-    BestRoom = Room;
-    BestNear = Near;
-  }
-  return Best;
-}
-
 void JobRouter::route(std::uint64_t Id) {
   Call &Item = m_Calls.at(Id);
-  std::optional<std::string> Chosen = choose(Item);
+  std::optional<std::string> Chosen =
+      m_Owners.choose(Item.m_Tasks, Item.m_Tried);
   TimePoint Now = EventLoop::now();
   if (!Chosen) {
     bool Wait = Item.m_Tried.empty() && Now < Item.m_WaitUntil;
@@ -130,8 +100,8 @@
     });
     return;
   }
-  Owner &To = m_Owners.at(*Chosen);
-  To.m_SentSince += Item.m_Tasks;
+  m_Owners.noteSent(*Chosen, Item.m_Tasks);
+  const OwnerTable::Owner &To = m_Owners.at(*Chosen);
   Item.m_Owner = *Chosen;
   Item.m_Tried.insert(*Chosen);
   armDeadline(Id, Item);
--- /dev/null
+++ b/Source/Node/LedgerCalls.cpp
@@ -0,0 +1,169 @@
+#include "auburnhub/Node/LedgerCalls.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace auburnhub {
+namespace {
+
+/// Time kept back for the way to the caller, in milliseconds.
+constexpr double AnswerPathMs = 40;
+
+/// A call that no keeper could be found for is refused after this time, in
+/// milliseconds: a partition changes hands within it.
+constexpr double NoKeeperMs = 1500;
+
+} // namespace
+
+LedgerCalls::LedgerCalls(EventLoop &Loop, std::uint32_t Parts,
+                         MetricsRegistry &Metrics, Send Send)
+    : m_Loop(Loop), m_PartCount(Parts), m_Send(std::move(Send)),
+      m_Metrics(Metrics),
+      m_Latency(
+          Metrics.latency("auburnhub_stored_call_seconds",
+                          "From a call about a stored job to its answer")) {}
+
+void LedgerCalls::keeps(const std::string &Node,
+                        std::span<const LedgerClaim> Claims) {
+  std::vector<std::uint32_t> Found;
+  for (auto It = m_Keepers.begin(); It != m_Keepers.end();) {
+    bool Still = std::any_of(Claims.begin(), Claims.end(), [&](const auto &C) {
+      return C.m_Part == It->first;
+    });
+    It = It->second.m_Node == Node && !Still ? m_Keepers.erase(It)
+                                             : std::next(It);
+  }
+  for (const LedgerClaim &Claim : Claims) {
+    Keeper &Known = m_Keepers[Claim.m_Part];
+    if (Claim.m_Epoch < Known.m_Epoch ||
+        (Claim.m_Epoch == Known.m_Epoch && Known.m_Node == Node))
+      continue;
+    Known = {Node, Claim.m_Epoch};
+    Found.push_back(Claim.m_Part);
+  }
+  for (std::uint32_t Part : Found)
+    routeWaiting(Part);
+}
+
+void LedgerCalls::nodeLost(const std::string &Node) {
+  std::erase_if(m_Keepers,
+                [&](const auto &Entry) { return Entry.second.m_Node == Node; });
+  std::vector<std::uint64_t> Lost;
+  for (auto &[Id, Item] : m_Calls)
+    if (Item.m_Keeper == Node) {
+      Item.m_Keeper.clear();
+      Item.m_InDoubt = true;
+      Lost.push_back(Id);
+    }
+  for (std::uint64_t Id : Lost)
+    route(Id);
+}
+
+void LedgerCalls::call(LedgerCallKind Kind, const std::string &Job,
+                       JobRequest Request, double TimeLeftMs, Done Done) {
+  std::uint64_t Id = ++m_LastCall;
+  Call &Item = m_Calls[Id];
+  std::uint32_t Part = ledgerPartOf(Job, m_PartCount);
+  Item.m_Message = {Id, Kind, Part, Job, std::move(Request)};
+  Item.m_Done = std::move(Done);
+  Item.m_Received = EventLoop::now();
+  double Whole = std::max(1.0, TimeLeftMs - AnswerPathMs);
+  double Wait = std::min(Whole, NoKeeperMs);
+  Item.m_Deadline = m_Loop.once(EventLoop::Duration(static_cast<int>(Whole)),
+                                [this, Id] { giveUp(Id); });
+  Item.m_WaitTimer =
+      m_Loop.once(EventLoop::Duration(static_cast<int>(Wait)), [this, Id] {
+        auto Found = m_Calls.find(Id);
+        if (Found != m_Calls.end() && Found->second.m_Keeper.empty())
+          giveUp(Id);
+      });
+  // Not from within this call.
+  m_Loop.post([this, Id] { route(Id); });
+}
+
+void LedgerCalls::route(std::uint64_t Id) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  Call &Item = Found->second;
+  auto To = m_Keepers.find(Item.m_Message.m_Part);
+  if (To == m_Keepers.end() || !Item.m_Keeper.empty())
+    return;
+  Item.m_Keeper = To->second.m_Node;
+  m_Send(Item.m_Keeper, Item.m_Message);
+}
+
+void LedgerCalls::routeWaiting(std::uint32_t Part) {
+  std::vector<std::uint64_t> Waiting;
+  for (auto &[Id, Item] : m_Calls)
+    if (Item.m_Message.m_Part == Part &&
+        Item.m_Keeper != m_Keepers[Part].m_Node) {
+      Item.m_InDoubt = Item.m_InDoubt || !Item.m_Keeper.empty();
+      Item.m_Keeper.clear();
+      Waiting.push_back(Id);
+    }
+  for (std::uint64_t Id : Waiting)
+    route(Id);
+}
+
+void LedgerCalls::answered(const LedgerCallAnswer &Answer) {
+  auto Found = m_Calls.find(Answer.m_Call);
+  if (Found == m_Calls.end())
+    return;
+  if (Answer.m_Outcome != LedgerCallOutcome::NotKeeper) {
+    finish(Answer.m_Call, Answer.m_Outcome, Answer.m_State);
+    return;
+  }
+  // It waits for word of the next keeper, or for its time to run out.
+  auto Known = m_Keepers.find(Found->second.m_Message.m_Part);
+  if (Known != m_Keepers.end() &&
+      Known->second.m_Node == Found->second.m_Keeper)
+    m_Keepers.erase(Known);
+  Found->second.m_Keeper.clear();
+  route(Answer.m_Call);
+}
+
+void LedgerCalls::giveUp(std::uint64_t Id) {
+  auto Found = m_Calls.find(Id);
+  if (Found == m_Calls.end())
+    return;
+  bool MayBeDone = Found->second.m_InDoubt || !Found->second.m_Keeper.empty();
+  finish(Id,
+         MayBeDone ? LedgerCallOutcome::Unknown : LedgerCallOutcome::NoKeeper);
+}
+
+void LedgerCalls::giveUpAll() {
+  while (!m_Calls.empty())
+    giveUp(m_Calls.begin()->first);
+}
+
+void LedgerCalls::finish(std::uint64_t Id, LedgerCallOutcome Outcome,
+                         StoredJobState State) {
+  static constexpr std::array<std::string_view, 3> Kinds = {"submit", "state",
+                                                            "cancel"};
+  Call Item = std::move(m_Calls.at(Id));
+  m_Calls.erase(Id);
+  std::string_view Kind =
+      Kinds[static_cast<std::size_t>(Item.m_Message.m_Kind)];
+  double TookMs = millisecondsBetween(Item.m_Received, EventLoop::now());
+  m_Latency.add(TookMs / 1000);
+  m_Metrics
+      .counter("auburnhub_stored_calls_total", "Calls about stored jobs",
+               {{"kind", std::string(Kind)},
+                {"outcome", std::string(ledgerCallOutcomeName(Outcome))}})
+      .add();
+  m_Log.info("stored_call_answered",
+             {{"job", Item.m_Message.m_Id},
+              {"kind", Kind},
+              {"outcome", ledgerCallOutcomeName(Outcome)},
+              {"state", storedJobStateName(State)},
+              {"part", Item.m_Message.m_Part},
+              {"keeper", Item.m_Keeper},
+              {"took_ms", std::round(TookMs)}});
+  Item.m_Done(Outcome, State);
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Source/Node/StoredRuns.cpp
@@ -0,0 +1,167 @@
+#include "auburnhub/Node/StoredRuns.h"
+
+#include <utility>
+#include <vector>
+
+namespace auburnhub {
+namespace {
+
+/// How long the runs of a lost keeper wait for the next one: the time in which
+/// a membership lapses, and one round of the members.
+constexpr EventLoop::Duration OrphanTime{1500};
+
+StoredRunEnd storedEndOf(RunEnd How) {
+  if (How == RunEnd::Done)
+    return StoredRunEnd::Done;
+  return How == RunEnd::Failed ? StoredRunEnd::Failed : StoredRunEnd::Over;
+}
+
+bool mustBeStored(StoredRunEnd How) {
+  return How == StoredRunEnd::Done || How == StoredRunEnd::Failed;
+}
+
+} // namespace
+
+bool StoredRuns::obey(const std::string &Keeper, const LedgerClaim &Claim) {
+  Part &Of = m_Parts[Claim.m_Part];
+  if (Claim.m_Epoch < Of.m_Epoch)
+    return false;
+  Of.m_Epoch = Claim.m_Epoch;
+  Of.m_Keeper = Keeper;
+  Of.m_Orphans.reset();
+  return true;
+}
+
+void StoredRuns::opened(const std::string &Keeper, const LedgerOpened &Msg) {
+  if (!obey(Keeper, Msg.m_Claim))
+    return;
+  m_JobsAreStored = true;
+  LedgerRuns Answer;
+  Answer.m_Claim = Msg.m_Claim;
+  std::vector<StoredTaskReport> Ends;
+  for (const auto &[Key, Item] : m_Runs) {
+    if (Item.m_Part != Msg.m_Claim.m_Part)
+      continue;
+    if (Item.m_End)
+      Ends.push_back(*Item.m_End);
+    else
+      Answer.m_Runs.push_back({Key.first, Key.second});
+  }
+  m_Effects.m_Send(Keeper, Answer);
+  for (const StoredTaskReport &End : Ends)
+    m_Effects.m_Send(Keeper, End);
+}
+
+void StoredRuns::run(const std::string &Keeper, const RunStoredTask &Msg) {
+  StoredRun Wanted{Msg.m_Task.task(), Msg.m_Task.m_Number};
+  if (!obey(Keeper, Msg.m_Claim)) {
+    StoredTaskReport Refusal;
+    Refusal.m_Part = Msg.m_Claim.m_Part;
+    Refusal.m_Run = Wanted;
+    m_Effects.m_Send(Keeper, Refusal);
+    return;
+  }
+  auto [It, Added] = m_Runs.try_emplace({Wanted.m_Task, Wanted.m_Number});
+  if (!Added)
+    return;
+  It->second.m_Part = Msg.m_Claim.m_Part;
+  m_Effects.m_Start(Msg.m_Task);
+}
+
+void StoredRuns::stop(const std::string &Keeper, const StopStoredRun &Msg) {
+  if (!obey(Keeper, Msg.m_Claim))
+    return;
+  auto Found = m_Runs.find({Msg.m_Run.m_Task, Msg.m_Run.m_Number});
+  if (Found != m_Runs.end() && !Found->second.m_End)
+    m_Effects.m_Stop(Msg.m_Run.m_Task);
+}
+
+void StoredRuns::settled(const StoredEndSettled &Msg) {
+  auto Found = m_Runs.find({Msg.m_Run.m_Task, Msg.m_Run.m_Number});
+  if (Found == m_Runs.end() || !Found->second.m_End)
+    return;
+  std::string Worker = Found->second.m_Worker;
+  m_Runs.erase(Found);
+  m_Effects.m_Settle(Worker, Msg.m_Run);
+}
+
+void StoredRuns::keeperLost(const std::string &Keeper) {
+  for (auto &[Number, Of] : m_Parts) {
+    if (Of.m_Keeper != Keeper)
+      continue;
+    Of.m_Keeper.clear();
+    Of.m_Orphans =
+        m_Loop.once(OrphanTime, [this, Part = Number] { stopOrphans(Part); });
+  }
+}
+
+void StoredRuns::stopOrphans(std::uint32_t Number) {
+  std::vector<TaskRef> Orphans;
+  for (const auto &[Key, Item] : m_Runs)
+    if (Item.m_Part == Number && !Item.m_End)
+      Orphans.push_back(Key.first);
+  if (!Orphans.empty())
+    m_Log.warning("runs_without_keeper_stopped",
+                  {{"part", Number},
+                   {"epoch", m_Parts[Number].m_Epoch},
+                   {"runs", Orphans.size()}});
+  for (const TaskRef &Task : Orphans)
+    m_Effects.m_Stop(Task);
+}
+
+void StoredRuns::report(StoredTaskReport Report) {
+  auto Of = m_Parts.find(Report.m_Part);
+  if (Of != m_Parts.end() && !Of->second.m_Keeper.empty())
+    m_Effects.m_Send(Of->second.m_Keeper, std::move(Report));
+}
+
+void StoredRuns::taskOver(const StoredTaskOver &Over) {
+  auto Found = m_Runs.find({Over.m_Task, Over.m_Number});
+  StoredTaskReport Report;
+  Report.m_Part = ledgerPartOf(Over.m_Task.m_Job, m_PartCount);
+  Report.m_Run = {Over.m_Task, Over.m_Number};
+  Report.m_How = Over.m_How;
+  Report.m_Reason = Over.m_Reason;
+  Report.m_Worker = Over.m_Worker;
+  if (Found != m_Runs.end() && mustBeStored(Over.m_How)) {
+    Found->second.m_Worker = Over.m_Worker;
+    Found->second.m_End = Report;
+  } else if (Found != m_Runs.end()) {
+    m_Runs.erase(Found);
+  }
+  report(std::move(Report));
+}
+
+bool StoredRuns::strayEnd(const std::string &Worker, const TaskRef &Task,
+                          std::uint32_t Number, RunEnd How) {
+  if (m_JobsAreStored && !*m_JobsAreStored)
+    return false;
+  StoredTaskReport Report;
+  Report.m_Part = ledgerPartOf(Task.m_Job, m_PartCount);
+  Report.m_Run = {Task, Number};
+  Report.m_How = storedEndOf(How);
+  Report.m_Worker = Worker;
+  bool Keep = mustBeStored(Report.m_How);
+  if (Keep) {
+    Run &Added = m_Runs[{Task, Number}];
+    Added.m_Part = Report.m_Part;
+    Added.m_Worker = Worker;
+    Added.m_End = Report;
+  }
+  report(std::move(Report));
+  return Keep;
+}
+
+void StoredRuns::setJobsAreStored(bool Value) {
+  if (m_JobsAreStored && (*m_JobsAreStored || !Value))
+    return;
+  m_JobsAreStored = Value;
+  if (Value)
+    return;
+  // Ends that were kept in doubt are those of jobs that are not stored.
+  auto Kept = std::exchange(m_Runs, {});
+  for (const auto &[Key, Item] : Kept)
+    m_Effects.m_Settle(Item.m_Worker, {Key.first, Key.second});
+}
+
+} // namespace auburnhub
--- /dev/null
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -0,0 +1,336 @@
+#include "LedgerFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace auburnhub;
+
+namespace {
+
+/// One job that is stored.
+struct StoredJobFixture : LedgerFixture {
+  StoredJobFixture() {
+    submit(job("a", 2));
+    store();
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AJobLedger)
+
+BOOST_FIXTURE_TEST_SUITE(AcceptsAJob, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(OnlyOnceItIsStored) {
+  auto Call = submit(job("a", 1));
+  BOOST_TEST(!m_Answers.contains(Call));
+  BOOST_TEST(!m_Ledger->state("a").has_value());
+  BOOST_TEST(!start().has_value());
+  store();
+  BOOST_TEST(isAnswered(Call, true));
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Queued));
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OnceHoweverOftenItIsHandedIn) {
+  auto First = submit(job("a", 1));
+  auto Second = submit(job("a", 1));
+  store();
+  auto Third = submit(job("a", 1));
+  BOOST_TEST(isAnswered(First, true));
+  BOOST_TEST(isAnswered(Second, true));
+  BOOST_TEST(isAnswered(Third, true));
+  BOOST_TEST(start().has_value());
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OrRefusesItIfTheAppendWasNotDone) {
+  auto Call = submit(job("a", 1));
+  m_InFlight = m_Ledger->takeBatch();
+  m_Ledger->refused();
+  collect();
+  BOOST_TEST(isAnswered(Call, false));
+  BOOST_TEST(!m_Ledger->state("a").has_value());
+  BOOST_TEST(!m_Ledger->hasRecords());
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OrRefusesItBeforeAnAppendWasTried) {
+  submit(job("a", 1));
+  m_InFlight = m_Ledger->takeBatch();
+  auto Waiting = submit(job("b", 1));
+  m_Ledger->refuseWaiting();
+  collect();
+  BOOST_TEST(isAnswered(Waiting, false));
+  m_Ledger->appended(m_Now);
+  BOOST_TEST(m_Ledger->state("a").has_value());
+  BOOST_TEST(!m_Ledger->state("b").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(RunsTasks, StoredJobFixture)
+
+BOOST_AUTO_TEST_CASE(OnceEach) {
+  auto First = start();
+  auto Second = start();
+  BOOST_REQUIRE((First && Second));
+  BOOST_TEST((First->task() != Second->task()));
+  BOOST_TEST(First->m_Number == 1U);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AndShowsTheJobAsCompletedOnlyOnceThatIsStored) {
+  auto First = start();
+  auto Second = start();
+  over(*First, StoredRunEnd::Done);
+  over(*Second, StoredRunEnd::Done);
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Running));
+  BOOST_TEST(!isSettled(*First));
+  store();
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Completed));
+  BOOST_TEST(isSettled(*First));
+  BOOST_TEST(isSettled(*Second));
+}
+
+BOOST_AUTO_TEST_CASE(AgainAfterAFailureThatIsStored) {
+  auto First = start();
+  start();
+  over(*First, StoredRunEnd::Failed);
+  pass(2000);
+  BOOST_TEST(!start().has_value());
+  store();
+  pass(2000);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->task() == First->task()));
+  BOOST_TEST(Again->m_Number > First->m_Number);
+  BOOST_TEST(Again->m_Avoid == std::vector<std::string>{"worker"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(AsOftenAsTheQueueAllows) {
+  auto First = start();
+  start();
+  over(*First, StoredRunEnd::Failed);
+  store();
+  pass(2000);
+  auto Again = start();
+  over(*Again, StoredRunEnd::Failed);
+  BOOST_TEST(m_Stopped.size() == 1U);
+  store();
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Failed));
+  pass(5000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(CountingAFailureOnceHoweverOftenItIsReported) {
+  auto First = start();
+  start();
+  over(*First, StoredRunEnd::Failed);
+  store();
+  over(*First, StoredRunEnd::Failed);
+  store();
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Running));
+}
+
+BOOST_AUTO_TEST_CASE(AgainAfterOneThatStoppedOrNeverStarted) {
+  auto First = start();
+  auto Second = start();
+  over(*First, StoredRunEnd::Over);
+  over(*Second, StoredRunEnd::NotRun);
+  BOOST_TEST(isSettled(*First));
+  pass(2000);
+  BOOST_TEST(start().has_value());
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NotAgainWhileALostOwnerMayRunThem) {
+  auto First = start("gone");
+  start("here");
+  m_Ledger->ownerLost(m_Now, "gone");
+  pass(3000);
+  BOOST_TEST(!start().has_value());
+  pass(1000);
+  auto Again = start("here");
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->task() == First->task()));
+}
+
+BOOST_AUTO_TEST_CASE(AtOnceWhenAnotherOwnerSawTheEndOfTheRun) {
+  auto First = start("gone");
+  start("here");
+  m_Ledger->ownerLost(m_Now, "gone");
+  over(*First, StoredRunEnd::Over, "here");
+  pass(100);
+  BOOST_TEST(start("here").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(KeepsSteps, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(UntilTheEndsOfEarlierOnesAreStored) {
+  submit(twoSteps("a"));
+  store();
+  auto First = start();
+  BOOST_REQUIRE(First.has_value());
+  BOOST_TEST(!start().has_value());
+  over(*First, StoredRunEnd::Done);
+  BOOST_TEST(m_Ledger->hasUrgentRecords());
+  BOOST_TEST(!start().has_value());
+  store();
+  auto Second = start();
+  BOOST_REQUIRE(Second.has_value());
+  BOOST_TEST(Second->m_StepNumber == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(CancelsAJob, StoredJobFixture)
+
+BOOST_AUTO_TEST_CASE(AndSaysSoOnceThatIsStored) {
+  auto First = start();
+  auto Call = cancel("a");
+  BOOST_TEST(m_Stopped.size() == 1U);
+  BOOST_TEST(!m_Answers.contains(Call));
+  store();
+  BOOST_TEST(isAnswered(Call, true));
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Cancelled));
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WhoseEndsWorkersKeepUntilThatIsStored) {
+  auto First = start();
+  cancel("a");
+  over(*First, StoredRunEnd::Done);
+  BOOST_TEST(!isSettled(*First));
+  store();
+  BOOST_TEST(isSettled(*First));
+}
+
+BOOST_AUTO_TEST_CASE(WhileTheFailureOfATaskIsBeingStored) {
+  auto First = start();
+  over(*First, StoredRunEnd::Failed);
+  m_InFlight = m_Ledger->takeBatch();
+  cancel("a");
+  m_Ledger->appended(m_Now);
+  collect();
+  store();
+  pass(5000);
+  BOOST_TEST(m_Ledger->readyTasks() == 0U);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ButNotOneThatHasEnded) {
+  auto First = start();
+  auto Second = start();
+  over(*First, StoredRunEnd::Done);
+  over(*Second, StoredRunEnd::Done);
+  auto Call = cancel("a");
+  store();
+  BOOST_TEST(isAnswered(Call, true));
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(AndKnowsNoOthers) {
+  auto Call = cancel("b");
+  BOOST_TEST(isAnswered(Call, false));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatIsTakenOver, StoredJobFixture)
+
+BOOST_AUTO_TEST_CASE(StartsNothingWhileEarlierRunsMayLive) {
+  start();
+  takeOver();
+  BOOST_TEST(m_Loaded);
+  pass(3500);
+  BOOST_TEST(!start().has_value());
+  pass(1000);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->m_Number > 1U);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWithRunsThatAreFound) {
+  auto First = start();
+  takeOver();
+  m_Ledger->runFound(m_Now, "owner", First->task(), First->m_Number);
+  collect();
+  BOOST_TEST(m_Stopped.empty());
+  pass(6000);
+  auto Other = start();
+  BOOST_REQUIRE(Other.has_value());
+  BOOST_TEST((Other->task() != First->task()));
+  over(*First, StoredRunEnd::Done);
+  over(*Other, StoredRunEnd::Done);
+  store();
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(RunsNothingAgainThatIsDone) {
+  auto First = start();
+  over(*First, StoredRunEnd::Done);
+  store();
+  takeOver();
+  pass(6000);
+  auto Other = start();
+  BOOST_REQUIRE(Other.has_value());
+  BOOST_TEST((Other->task() != First->task()));
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TakesAnEndThatTheEarlierKeeperDidNotStore) {
+  auto First = start();
+  over(*First, StoredRunEnd::Done);
+  takeOver();
+  over(*First, StoredRunEnd::Done, "another");
+  BOOST_TEST(!isSettled(*First));
+  store();
+  BOOST_TEST(isSettled(*First));
+  pass(6000);
+  auto Other = start();
+  BOOST_REQUIRE(Other.has_value());
+  BOOST_TEST((Other->task() != First->task()));
+}
+
+BOOST_AUTO_TEST_CASE(StopsRunsOfJobsThatAreOver) {
+  auto First = start();
+  cancel("a");
+  store();
+  takeOver();
+  m_Stopped.clear();
+  m_Ledger->runFound(m_Now, "owner", First->task(), First->m_Number);
+  collect();
+  BOOST_TEST(m_Stopped.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ForgetsAJob, StoredJobFixture)
+
+BOOST_AUTO_TEST_CASE(SomeTimeAfterItsEnd) {
+  cancel("a");
+  store();
+  pass(100000);
+  BOOST_TEST(m_Ledger->state("a").has_value());
+  pass(50000);
+  BOOST_TEST(!m_Ledger->state("a").has_value());
+  store();
+  BOOST_TEST(m_Log.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(CountsWaitingJobs, StoredJobFixture)
+
+BOOST_AUTO_TEST_CASE(ThatHaveNotStarted) {
+  BOOST_TEST(m_Ledger->pending().at("certify") == 1U);
+  start();
+  BOOST_TEST(m_Ledger->pending().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -211,4 +211,64 @@
   BOOST_TEST(isOver("a", JobOutcome::GivenUp));
 }
 
+BOOST_AUTO_TEST_SUITE(RunsATaskOfAStoredJob)
+
+BOOST_AUTO_TEST_CASE(OnceUnderTheNumberItWasGiven) {
+  addWorker("w");
+  submitStored(3, 7);
+  BOOST_REQUIRE(m_Starts.size() == 1U);
+  BOOST_TEST((m_Starts[0].m_Task == TaskRef{"kept", 2, 3}));
+  BOOST_TEST(m_Starts[0].m_Number == 7U);
+  BOOST_TEST(m_Starts[0].m_Stored);
+  accept(m_Starts[0].m_Run);
+  end(m_Starts[0].m_Run, RunEnd::Failed);
+  BOOST_TEST(m_Starts.size() == 1U);
+  BOOST_REQUIRE(m_StoredOver.size() == 1U);
+  BOOST_TEST((m_StoredOver[0].m_How == StoredRunEnd::Failed));
+  BOOST_TEST(m_StoredOver[0].m_Number == 7U);
+  BOOST_TEST(m_StoredOver[0].m_Worker == "w");
+}
+
+BOOST_AUTO_TEST_CASE(OrHandsItBackIfThereIsNoRoom) {
+  addWorker("w", 6000);
+  submitStored(0);
+  submitStored(1);
+  pass(1000);
+  BOOST_REQUIRE(m_StoredOver.size() == 1U);
+  BOOST_TEST((m_StoredOver[0].m_How == StoredRunEnd::NotRun));
+  BOOST_TEST((m_StoredOver[0].m_Reason == JobReason::NoRoom));
+}
+
+BOOST_AUTO_TEST_CASE(UntilItsWorkerSaysThatItIsStopped) {
+  addWorker("w");
+  submitStored(0);
+  accept(m_Starts[0].m_Run);
+  m_Scheduler.cancel(m_Now, m_Starts[0].m_Task);
+  collect();
+  BOOST_TEST(m_Stops.size() == 1U);
+  BOOST_TEST(m_StoredOver.empty());
+  end(m_Starts[0].m_Run, RunEnd::Stopped);
+  BOOST_REQUIRE(m_StoredOver.size() == 1U);
+  BOOST_TEST((m_StoredOver[0].m_How == StoredRunEnd::Over));
+}
+
+BOOST_AUTO_TEST_CASE(AndSaysSoIfItsWorkerWentToAnotherOwner) {
+  addWorker("w");
+  submitStored(0);
+  m_Scheduler.runAbandoned(m_Now, m_Starts[0].m_Run);
+  collect();
+  BOOST_REQUIRE(m_StoredOver.size() == 1U);
+  BOOST_TEST((m_StoredOver[0].m_How == StoredRunEnd::InDoubt));
+}
+
+BOOST_AUTO_TEST_CASE(ElsewhereThanWhereItHasFailed) {
+  addWorker("a");
+  addWorker("b");
+  submitStored(0, 2, {"a"});
+  BOOST_REQUIRE(m_Starts.size() == 1U);
+  BOOST_TEST(m_Starts[0].m_Worker == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Jobs/LedgerFixture.h
@@ -0,0 +1,129 @@
+#ifndef AUBURNHUB_TESTS_JOBS_LEDGERFIXTURE_H
+#define AUBURNHUB_TESTS_JOBS_LEDGERFIXTURE_H
+
+#include "auburnhub/Jobs/JobLedger.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace auburnhub {
+
+/// A ledger with its effects sorted out, a log that the test writes for it,
+/// and clocks that the test moves.
+struct LedgerFixture {
+  static JobRequest job(const std::string &Id, std::uint32_t Tasks,
+                        std::uint32_t Attempts = 2) {
+    JobRequest Request;
+    Request.m_Id = Id;
+    Request.m_Policy = {"certify", "tile-orders", 0, Attempts, 1.6, 60};
+    Request.m_Spec = "spec";
+    JobStep Step;
+    Step.m_Count = Tasks;
+    Step.m_Each = {1000, 64, 0};
+    Request.m_Steps.push_back(Step);
+    return Request;
+  }
+
+  static JobRequest twoSteps(const std::string &Id) {
+    JobRequest Request = job(Id, 1);
+    Request.m_Steps.push_back(Request.m_Steps.front());
+    Request.m_Steps.back().m_After = {0};
+    return Request;
+  }
+
+  /// Takes the next batch and writes it to the log.
+  void store() {
+    m_InFlight = m_Ledger->takeBatch();
+    write();
+    m_Ledger->appended(m_Now);
+    collect();
+  }
+  void write() {
+    for (const LedgerRecord &Record : m_InFlight)
+      if (Record.m_Value)
+        m_Log[Record.m_Key] = *Record.m_Value;
+      else
+        m_Log.erase(Record.m_Key);
+  }
+
+  std::uint64_t submit(JobRequest Request) {
+    m_Ledger->submit(m_Now, ++m_Call, std::move(Request));
+    collect();
+    return m_Call;
+  }
+  std::uint64_t cancel(const std::string &Id) {
+    m_Ledger->cancel(m_Now, m_WallMs, ++m_Call, Id);
+    collect();
+    return m_Call;
+  }
+  /// Gives the next task to an owner.
+  std::optional<StoredTask> start(const std::string &Owner = "owner") {
+    auto Task = m_Ledger->nextTask(m_Now);
+    if (Task)
+      m_Ledger->started(m_Now, Owner);
+    return Task;
+  }
+  void over(const StoredTask &Task, StoredRunEnd How,
+            const std::string &Owner = "owner") {
+    m_Ledger->runOver(m_Now, m_WallMs, Owner, "worker", Task.task(),
+                      Task.m_Number, How);
+    collect();
+  }
+  void pass(double Ms) {
+    m_Now = addMs(m_Now, Ms);
+    m_WallMs += static_cast<std::int64_t>(Ms);
+    m_Ledger->advance(m_Now, m_WallMs);
+    collect();
+  }
+  /// Another node reads the log and goes on.
+  void takeOver() {
+    m_Ledger.emplace(JobLedgerParameters(), ++m_Epoch);
+    for (const auto &[Key, Value] : m_Log)
+      m_Loaded = m_Loaded && m_Ledger->load(Key, Value).ok();
+    m_Ledger->begin(m_Now);
+    collect();
+  }
+
+  void collect() {
+    for (const LedgerEffect &Effect : m_Ledger->takeEffects())
+      std::visit([this](const auto &Item) { take(Item); }, Effect);
+  }
+  void take(const LedgerCallAnswered &Item) {
+    m_Answers[Item.m_Call] = Item.m_Done;
+  }
+  void take(const LedgerRunStopped &Item) { m_Stopped.push_back(Item); }
+  void take(const LedgerEndSettled &Item) { m_Settled.push_back(Item); }
+  void take(const LedgerJobOver &Item) { m_Over[Item.m_Job] = Item.m_State; }
+
+  bool isSettled(const StoredTask &Task) const {
+    return std::any_of(m_Settled.begin(), m_Settled.end(), [&](const auto &S) {
+      return S.m_Task == Task.task() && S.m_Number == Task.m_Number;
+    });
+  }
+  bool isAnswered(std::uint64_t Call, bool Done) const {
+    auto Found = m_Answers.find(Call);
+    return Found != m_Answers.end() && Found->second == Done;
+  }
+
+  TimePoint m_Now = TimePoint(std::chrono::hours(1));
+  std::int64_t m_WallMs = 1700000000000;
+  LedgerEpoch m_Epoch = 1;
+  std::optional<JobLedger> m_Ledger{std::in_place, JobLedgerParameters(),
+                                    LedgerEpoch{1}};
+  std::map<std::string, std::string> m_Log;
+  std::vector<LedgerRecord> m_InFlight;
+  bool m_Loaded = true;
+  std::uint64_t m_Call = 0;
+  std::map<std::uint64_t, bool> m_Answers;
+  std::vector<LedgerRunStopped> m_Stopped;
+  std::vector<LedgerEndSettled> m_Settled;
+  std::map<std::string, StoredJobState> m_Over;
+};
+
+} // namespace auburnhub
+
+#endif
--- a/Tests/Jobs/SchedulerFixture.h
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -75,6 +75,24 @@
     m_Over[Over.m_Job].push_back(Over.m_Result);
   }
 
+  void take(const StoredTaskOver &Over) { m_StoredOver.push_back(Over); }
+
+  /// Hands in one task of a stored job.
+  void submitStored(std::uint32_t Index, std::uint32_t Number = 1,
+                    std::vector<std::string> Avoid = {}) {
+    JobRequest Request = job("kept", 1);
+    StoredTask Task;
+    Task.m_Job = Request.m_Id;
+    Task.m_StepNumber = 2;
+    Task.m_Index = Index;
+    Task.m_Number = Number;
+    Task.m_Policy = Request.m_Policy;
+    Task.m_Step = Request.m_Steps.front();
+    Task.m_Avoid = std::move(Avoid);
+    m_Scheduler.submit(m_Now, Task);
+    collect();
+  }
+
   bool isOver(const std::string &Job, JobOutcome Outcome) const {
     auto Found = m_Over.find(Job);
     return Found != m_Over.end() && Found->second.size() == 1 &&
@@ -86,6 +104,7 @@
   std::vector<StartRun> m_Starts;
   std::vector<RunId> m_Stops;
   std::map<std::string, std::vector<JobResult>> m_Over;
+  std::vector<StoredTaskOver> m_StoredOver;
 };
 
 } // namespace auburnhub
--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -50,6 +50,9 @@
     };
     Events.m_Ended = [this](RunId Run, RunEnd How) { m_Ended[Run] = How; };
     Events.m_Progress = [](RunId, double) {};
+    Events.m_StrayEnd = [this](const TaskRef &, std::uint32_t, RunEnd) {
+      return m_KeepsStrayEnds;
+    };
     Events.m_Fenced = [this] { m_Fenced = true; };
     m_Session.emplace(m_Loop, m_Orders, m_Chart, m_Settings, WorkerSpec(),
                       FencingToken{7}, Events);
@@ -98,6 +101,7 @@
   std::optional<WorkerSession<ScriptedTransport>> m_Session;
   bool m_Reachable = false;
   bool m_Fenced = false;
+  bool m_KeepsStrayEnds = false;
   std::vector<RunId> m_Accepted;
   std::map<RunId, RefusalReason> m_Refused;
   std::map<RunId, RunEnd> m_Ended;
@@ -259,4 +263,58 @@
   BOOST_TEST(m_Orders.m_Renewals.size() == Renewals);
 }
 
+BOOST_AUTO_TEST_SUITE(LetsTheWorkerKeepTheEnd)
+
+BOOST_AUTO_TEST_CASE(OfAStoredRunUntilItIsSettled) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  answerStart(OrderAnswer::Accepted);
+  renewed(listed({}, {{1, m_Task, 1, RunEnd::Done}}));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Done));
+  BOOST_TEST(m_Orders.m_Renewals.empty());
+  m_Session->settle(m_Task, 1);
+  BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+  BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ButNotOfOneThatWasStopped) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  answerStart(OrderAnswer::Accepted);
+  renewed(listed({}, {{1, m_Task, 1, RunEnd::Stopped}}));
+  BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+  BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ThatAnEarlierOwnerLeftUnsettled) {
+  m_KeepsStrayEnds = true;
+  renewed(listed({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}));
+  BOOST_TEST(m_Reachable);
+  BOOST_TEST(m_Orders.m_Renewals.empty());
+  m_Session->settle({"other", 0, 0}, 2);
+  BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+  BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TakesARunForAlive)
+
+BOOST_AUTO_TEST_CASE(WhileTheWorkerHasMoreEndsThanItLists) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  answerStart(OrderAnswer::Accepted);
+  // The first renewal was asked for before the run was known.
+  renewed(listed());
+  BOOST_REQUIRE(m_Ended.empty());
+  RenewReply Partial = listed();
+  Partial.m_HasMoreEnds = true;
+  renewed(Partial);
+  BOOST_TEST(m_Ended.empty());
+  renewed(listed());
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/DecodingTest.cpp
+++ b/Tests/Platform/DecodingTest.cpp
@@ -144,6 +144,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AMembership)
+
+BOOST_AUTO_TEST_CASE(NamesThePartitionsOfOneTopic) {
+  auto Given = decodeMembership(
+      R"({"generation":7,"parts":[["jobs",3,840],["other",1,0]]})", "jobs");
+  BOOST_REQUIRE(Given.ok());
+  BOOST_TEST(Given->m_Generation == 7U);
+  BOOST_TEST(Given->m_Parts == std::vector<std::uint32_t>{3},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ThatCannotBeReadIsAnError) {
+  for (const char *Text : {"", "[]", "{}", R"({"generation":1})",
+                           R"({"generation":1,"parts":[[3]]})"})
+    BOOST_TEST(!decodeMembership(Text, "jobs").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AJob)
 
 struct Queue {
@@ -153,7 +172,7 @@
     m_Request.m_Method = "POST";
     m_Request.m_Path = "/q/5c0e7a21d94b36f8";
   }
-  absl::StatusOr<JobRequest> decode(const std::string &Body) {
+  absl::StatusOr<SubmittedJob> decode(const std::string &Body) {
     m_Request.m_Body = Body;
     return decodeJob(m_Queue, m_Request);
   }
@@ -164,9 +183,9 @@
 BOOST_FIXTURE_TEST_CASE(WaitsAsLongAsItsCallerSays, Queue) {
   const char *Body =
       R"({"spec":"x","best_effort":true,"steps":[{"count":2,"cpu":5}]})";
-  BOOST_TEST(decode(Body)->m_TimeLeftMs == 1500);
+  BOOST_TEST(decode(Body)->m_Job.m_TimeLeftMs == 1500);
   m_Request.m_Headers.set("X-Deadline-Ms", "20000");
-  BOOST_TEST(decode(Body)->m_TimeLeftMs == 20000);
+  BOOST_TEST(decode(Body)->m_Job.m_TimeLeftMs == 20000);
 }
 
 BOOST_FIXTURE_TEST_CASE(ThatIsMalformedIsABadRequest, Queue) {
@@ -183,13 +202,19 @@
 
 BOOST_FIXTURE_TEST_CASE(ThatAsksForWhatIsNotServedIsToldSo, Queue) {
   for (const char *Body :
-       {R"({"spec":"x","steps":[{"count":1}]})",
-        R"({"spec":"x","best_effort":true,"steps":[{"count":1,"gang":true}]})",
+       {R"({"spec":"x","best_effort":true,"steps":[{"count":1,"gang":true}]})",
+        R"({"spec":"x","long_running":true,"steps":[{"count":1}]})",
         R"({"spec":"x","best_effort":true,"repeat_count":3,)"
         R"("steps":[{"count":1}]})"})
     BOOST_TEST((failureCode(decode(Body).status()) == FailureCode::NotFound));
 }
 
+BOOST_FIXTURE_TEST_CASE(IsStoredUnlessItsCallerSaysOtherwise, Queue) {
+  BOOST_TEST(decode(R"({"spec":"x","steps":[{"count":1}]})")->m_MustBeStored);
+  BOOST_TEST(!decode(R"({"spec":"x","best_effort":true,"steps":[{"count":1}]})")
+                  ->m_MustBeStored);
+}
+
 BOOST_FIXTURE_TEST_CASE(OfAQueueWithAPolicyIsToldThatItIsNotServed, Queue) {
   m_Queue.m_Restricted = true;
   absl::Status Status =
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -69,6 +69,9 @@
   }
   const HttpRequest &Request = Exchange.request();
   std::string Name(Request.query("topic"));
+  std::string Part(Request.query("part"));
+  if (!Part.empty() && Part != "0")
+    Name += "/" + Part;
   std::string_view Path = Request.m_Path;
   if (Path.starts_with("/log-append"))
     append(Exchange, Name);
@@ -76,6 +79,10 @@
     readNewest(Exchange, Name);
   else if (Path.starts_with("/log-read"))
     readFrom(Exchange, Name);
+  else if (Path == "/log-join")
+    join(Exchange);
+  else if (Path == "/log-leave")
+    leave(Exchange);
   else
     Exchange.respond(status(404));
 }
@@ -88,11 +95,98 @@
     Exchange.respond(status(400));
     return;
   }
+  if (auto Refusal = refuseWriter(Exchange.request(), m_Topics[Name])) {
+    Exchange.respond(*std::move(Refusal));
+    return;
+  }
   for (const KeyedRecord &Item : Batch->m_Records)
     put(Name, Item.m_Key, Item.m_Value);
+  if (m_LostAnswers > 0 && !Batch->m_Records.empty()) {
+    --m_LostAnswers;
+    m_Unanswered.push_back(Exchange);
+    return;
+  }
   Exchange.respond(status(200, R"({"offset":0,"end":1})"));
 }
 
+std::optional<HttpResponse> FakeStore::refuseWriter(const HttpRequest &Request,
+                                                    Topic &To) {
+  std::string Epoch(Request.query("epoch"));
+  if (Epoch.empty())
+    return std::nullopt;
+  std::uint64_t Writer = std::stoull(Epoch);
+  std::uint64_t Sequence = std::stoull(std::string(Request.query("sequence")));
+  if (Writer < To.m_Epoch)
+    return status(409, R"({"reason":"fenced"})");
+  bool Higher = Writer > To.m_Epoch;
+  if (!Higher && Sequence == To.m_Sequence)
+    return status(200, R"({"offset":0,"end":1})");
+  if (!Higher && Sequence != To.m_Sequence + 1)
+    return status(409, R"({"reason":"seq"})");
+  To.m_Epoch = Writer;
+  To.m_Sequence = Sequence;
+  return std::nullopt;
+}
+
+void FakeStore::deal(Group &Of) {
+  constexpr std::uint32_t Parts = 8;
+  ++Of.m_Generation;
+  std::vector<Member *> All;
+  for (auto &[Name, Item] : Of.m_Members) {
+    Item.m_Parts.clear();
+    All.push_back(&Item);
+  }
+  for (std::uint32_t Part = 0; Part < Parts && !All.empty(); ++Part)
+    All[Part % All.size()]->m_Parts.push_back(Part);
+}
+
+void FakeStore::join(const HttpExchange &Exchange) {
+  auto Body = nlohmann::json::parse(Exchange.request().m_Body);
+  Group &Of = m_Groups[Body["group"]];
+  std::string Name = Body["member"];
+  TimePoint Now = EventLoop::now();
+  std::size_t Lapsed = std::erase_if(Of.m_Members, [&](const auto &Entry) {
+    return Entry.first != Name && Entry.second.m_LapsesAt < Now;
+  });
+  auto [It, Added] = Of.m_Members.try_emplace(Name);
+  It->second.m_LapsesAt = addMs(Now, Body["ttl_ms"].get<double>());
+  if (Added || Lapsed > 0)
+    deal(Of);
+  // What another member has not given back yet is not given on.
+  bool IsCurrent = Body["generation"].get<std::uint64_t>() >= Of.m_Generation;
+  std::erase_if(Of.m_HeldBy, [&](const auto &Entry) {
+    return !Of.m_Members.contains(Entry.second) ||
+           (Entry.second == Name && IsCurrent);
+  });
+  nlohmann::json Parts = nlohmann::json::array();
+  for (std::uint32_t Part : It->second.m_Parts) {
+    auto Holder = Of.m_HeldBy.try_emplace(Part, Name).first;
+    if (Holder->second == Name)
+      Parts.push_back({Body["topics"][0], Part, 0});
+  }
+  Exchange.respond(status(
+      200, nlohmann::json{{"generation", Of.m_Generation}, {"parts", Parts}}
+               .dump()));
+}
+
+void FakeStore::leave(const HttpExchange &Exchange) {
+  auto Body = nlohmann::json::parse(Exchange.request().m_Body);
+  Group &Of = m_Groups[Body["group"]];
+  if (Of.m_Members.erase(Body["member"].get<std::string>()) > 0)
+    deal(Of);
+  Exchange.respond(status(200));
+}
+
+std::size_t FakeStore::keys(const std::string &Name,
+                            const std::string &Prefix) const {
+  std::size_t Total = 0;
+  for (const auto &[Topic, Item] : m_Topics)
+    if (Topic == Name || Topic.starts_with(Name + "/"))
+      for (const auto &[Key, Value] : Item.m_Newest)
+        Total += Key.starts_with(Prefix) ? 1 : 0;
+  return Total;
+}
+
 void FakeStore::readNewest(const HttpExchange &Exchange,
                            const std::string &Name) {
   const Topic &Of = m_Topics[Name];
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -11,8 +11,9 @@
 
 namespace auburnhub::platform {
 
-/// Stands in for the platform's store: keyed topics of one partition, with
-/// outages, trimmed history and reads that wait.
+/// Stands in for the platform's store: keyed topics, writers' epochs and
+/// groups, with outages, trimmed history and reads that wait. A partition other
+/// than 0 of a topic is named "topic/partition" here.
 class FakeStore {
 public:
   enum class Mood {
@@ -35,6 +36,10 @@
   std::optional<std::string> value(const std::string &Topic,
                                    const std::string &Key) const;
   std::size_t calls() const { return m_Calls; }
+  /// Returns how many keys of this beginning a topic's partitions hold.
+  std::size_t keys(const std::string &Topic, const std::string &Prefix) const;
+  /// So many of the next appends are carried out, but not answered.
+  void loseAnswers(int Count) { m_LostAnswers = Count; }
 
 private:
   struct Record {
@@ -45,6 +50,17 @@
     std::vector<Record> m_Log;
     std::uint64_t m_First = 0; ///< Offsets below are no longer kept.
     std::map<std::string, std::string> m_Newest;
+    std::uint64_t m_Epoch = 0;
+    std::uint64_t m_Sequence = 0;
+  };
+  struct Member {
+    std::vector<std::uint32_t> m_Parts;
+    TimePoint m_LapsesAt;
+  };
+  struct Group {
+    std::uint64_t m_Generation = 0;
+    std::map<std::string, Member> m_Members;
+    std::map<std::uint32_t, std::string> m_HeldBy; ///< Until given back.
   };
   struct Waiting {
     HttpExchange m_Exchange;
@@ -55,6 +71,12 @@
 
   void onCall(const HttpExchange &Exchange);
   void append(const HttpExchange &Exchange, const std::string &Name);
+  /// Returns the refusal of a writer, or nothing.
+  static std::optional<HttpResponse> refuseWriter(const HttpRequest &Request,
+                                                  Topic &To);
+  void join(const HttpExchange &Exchange);
+  void leave(const HttpExchange &Exchange);
+  static void deal(Group &Of);
   void readNewest(const HttpExchange &Exchange, const std::string &Name);
   void readFrom(const HttpExchange &Exchange, const std::string &Name);
   HttpResponse batch(const Topic &Of, std::uint64_t From) const;
@@ -68,6 +90,8 @@
   std::uint64_t m_LastWaiting = 0;
   std::vector<HttpExchange> m_Unanswered;
   std::size_t m_Calls = 0;
+  int m_LostAnswers = 0;
+  std::map<std::string, Group> m_Groups;
 };
 
 } // namespace auburnhub::platform
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <map>
 
 using namespace auburnhub;
 using namespace auburnhub::platform;
@@ -86,9 +87,10 @@
   BOOST_TEST(until([&] { return Reply->has(404); }));
 }
 
-BOOST_FIXTURE_TEST_CASE(AndRefusesThoseItMustKeep, OneNode) {
-  auto Reply = call(0, "POST", Prefix + JobA,
-                    R"({"spec":"x","steps":[{"count":1,"cpu":1}]})");
+BOOST_FIXTURE_TEST_CASE(AndRefusesThoseItDoesNotServe, OneNode) {
+  auto Reply =
+      call(0, "POST", Prefix + JobA,
+           R"({"spec":"x","steps":[{"count":2,"cpu":1,"gang":true}]})");
   BOOST_TEST(until([&] { return Reply->has(503); }));
   BOOST_TEST((*Reply->m_Answer)->m_Headers.get("Retry-After") == "1");
   BOOST_TEST(startsInAll() == 0U);
@@ -105,6 +107,126 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(StoresJobs)
+
+BOOST_FIXTURE_TEST_CASE(AndAnswersBeforeTheyHaveRun, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Reply = submitStored(0, JobA, 2);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+  BOOST_TEST(store().keys("keyed.auburnhub-jobs", "job/") == 1U);
+  BOOST_TEST(until([&] { return state(2, JobA) == "running"; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndRunsEachTaskOnce, ThreeNodes) {
+  auto Reply = submitStored(0, JobA, 3);
+  BOOST_REQUIRE(until([&] { return Reply->has(200); }));
+  BOOST_TEST(until([&] { return state(1, JobA) == "completed"; }));
+  auto Again = submitStored(2, JobA, 3);
+  BOOST_TEST(until([&] { return Again->has(200); }));
+  BOOST_TEST(state(2, JobA) == "completed");
+  BOOST_TEST(startsInAll() == 3U);
+  BOOST_TEST(until([&] {
+    std::size_t Kept = 0;
+    for (std::size_t I = 0; I < 4; ++I)
+      Kept += executor(I).unacknowledgedEnds();
+    return Kept == 0;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndGoesOnWithThemAfterAllNodesWereKilled, OneNode) {
+  executor(0).behaviour().m_Hangs = true;
+  executor(1).behaviour().m_Hangs = true;
+  auto Reply = submitStored(0, JobA, 2);
+  BOOST_REQUIRE(until([&] { return Reply->has(200) && startsInAll() == 2; }));
+  signal(0, SIGKILL);
+  executor(0).behaviour().m_Hangs = false;
+  executor(1).behaviour().m_Hangs = false;
+  addNode();
+  BOOST_TEST(until([&] { return state(1, JobA) == "completed"; }));
+  BOOST_TEST(startsInAll() == 4U);
+  BOOST_TEST(!anyOverlap());
+}
+
+BOOST_FIXTURE_TEST_CASE(AndRunsNothingAgainThatWasDoneWhileNobodyLooked,
+                        OneNode) {
+  executor(0).behaviour().m_RunTime = EventLoop::Duration(400);
+  executor(1).behaviour().m_RunTime = EventLoop::Duration(400);
+  auto Reply = submitStored(0, JobA, 2);
+  BOOST_REQUIRE(until([&] { return Reply->has(200) && startsInAll() == 2; }));
+  signal(0, SIGKILL);
+  BOOST_REQUIRE(until([&] { return runningInAll() == 0; }));
+  addNode();
+  BOOST_TEST(until([&] { return state(1, JobA) == "completed"; }));
+  BOOST_TEST(startsInAll() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AndAnotherKeeperTakesThemOver, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_RunTime = EventLoop::Duration(700);
+  std::map<std::string, std::shared_ptr<Reply>> Jobs;
+  for (int I = 0; I < 6; ++I) {
+    std::string Job = "00000000000002" + std::to_string(10 + I);
+    Jobs[Job] = submitStored(1, Job, 1);
+  }
+  for (const auto &[Job, Reply] : Jobs)
+    BOOST_REQUIRE(until([Answer = Reply] { return Answer->has(200); }));
+  signal(0, SIGKILL);
+  for (const auto &[Job, Reply] : Jobs)
+    BOOST_TEST(until([this, Id = Job] { return state(2, Id) == "completed"; }));
+  BOOST_TEST(!anyOverlap());
+}
+
+BOOST_FIXTURE_TEST_CASE(OnceAlthoughTheStoresAnswerIsLost, OneNode) {
+  auto First = submitStored(0, JobB, 1);
+  BOOST_REQUIRE(until([&] { return state(0, JobB) == "completed"; }));
+  store().loseAnswers(1);
+  auto Reply = submitStored(0, JobA, 1);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+  BOOST_TEST(until([&] { return state(0, JobA) == "completed"; }));
+  BOOST_TEST(startsInAll() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OrSaysThatItDidNot, OneNode) {
+  store().setMood(FakeStore::Mood::Refusing);
+  auto Reply = submitStored(0, JobA, 1);
+  BOOST_TEST(until([&] { return Reply->has(503); }));
+  store().setMood(FakeStore::Mood::Serving);
+  auto Later = submitStored(0, JobB, 1);
+  BOOST_TEST(until([&] { return Later->has(200); }));
+  auto Unknown = call(0, "GET", Prefix + JobA);
+  BOOST_TEST(until([&] { return Unknown->has(410); }));
+  BOOST_TEST(until([&] { return state(0, JobB) == "completed"; }));
+  BOOST_TEST(startsInAll() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AndCancelsThem, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Reply = submitStored(0, JobA, 2);
+  BOOST_REQUIRE(until([&] { return Reply->has(200) && startsInAll() == 2; }));
+  auto Cancel = call(2, "DELETE", Prefix + JobA);
+  BOOST_TEST(until([&] { return Cancel->has(200); }));
+  BOOST_TEST(state(1, JobA) == "canceled");
+  BOOST_TEST(until([&] { return runningInAll() == 0; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndTellsHowManyWait, OneNode) {
+  executor(0).behaviour().m_Hangs = true;
+  executor(1).behaviour().m_Hangs = true;
+  auto First = submitStored(0, JobA, 4);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 4; }));
+  auto Second = submitStored(0, JobB, 1);
+  BOOST_REQUIRE(until([&] { return Second->has(200); }));
+  BOOST_TEST(until([&] {
+    auto Count = call(0, "GET", Prefix);
+    until([&] { return Count->m_Answer.has_value(); });
+    return Count->has(200) && (*Count->m_Answer)->m_Body == R"({"pending":1})";
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(CancelsJobs)
 
 BOOST_FIXTURE_TEST_CASE(WhereverTheyRun, ThreeNodes) {
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -15,17 +15,22 @@
 /// A test that waits longer has failed.
 constexpr double GenerousMs = 20000;
 
-/// Returns a free address. Its host is this process's own, so that no outgoing
-/// connection takes the port before a node listens on it.
-Address freeAddress(EventLoop &Loop) {
+/// Returns the host of this process's own addresses, so that no outgoing
+/// connection takes a port before a node listens on it.
+std::string ownHost() {
   constexpr int Values = 250;
   int Pid = getpid();
-  std::string Host = "127." + std::to_string(1 + Pid / Values % Values) + "." +
-                     std::to_string(1 + Pid % Values) + ".1";
-  boost::asio::ip::tcp::acceptor Probe(
-      Loop.io(),
-      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Host), 0));
-  return {Host, Probe.local_endpoint().port()};
+  return "127." + std::to_string(1 + Pid / Values % Values) + "." +
+         std::to_string(1 + Pid % Values) + ".1";
+}
+
+nlohmann::json jobBody(int Tasks) {
+  return {{"spec", "text"},
+          {"steps",
+           {{{"count", Tasks},
+             {"cpu", 6000},
+             {"mem_mb", 64},
+             {"estimated_ms", 20}}}}};
 }
 
 } // namespace
@@ -77,6 +82,18 @@
   m_Store.put("keyed.op", "config", Record.dump());
 }
 
+Address PlatformCluster::freeAddress() {
+  using boost::asio::ip::tcp;
+  tcp::endpoint Any(boost::asio::ip::make_address(ownHost()), 0);
+  while (true) {
+    tcp::acceptor Probe(m_Loop.io(), Any);
+    std::uint16_t Port = Probe.local_endpoint().port();
+    // A port that was free once may be on its way to another node.
+    if (m_Ports.insert(Port).second)
+      return {ownHost(), Port};
+  }
+}
+
 std::string PlatformCluster::writeSettings(const std::string &Name,
                                            const std::string &Zone,
                                            const NodeAddresses &Where) const {
@@ -90,7 +107,10 @@
       {"seeds", nlohmann::json::array()},
       {"limits", {{"cpu_share", 0.25}, {"cores", 1}}},
       {"bounds", {{"hold_max_ms", 1000}, {"grace_s", m_StopGraceSeconds}}},
-      {"platform", {{"address", m_Store.address().str()}}}};
+      {"platform",
+       {{"address", m_Store.address().str()},
+        {"parts", 8},
+        {"min_ttl_ms", 1000}}}};
   if (!m_Addresses.empty())
     Settings["seeds"].push_back(m_Addresses.front().m_Links.str());
   // JSON is YAML as well.
@@ -101,8 +121,7 @@
 
 void PlatformCluster::addNode(const std::string &Zone) {
   std::string Name = "node-" + std::to_string(m_Nodes.size());
-  NodeAddresses Where{freeAddress(m_Loop), freeAddress(m_Loop),
-                      freeAddress(m_Loop)};
+  NodeAddresses Where{freeAddress(), freeAddress(), freeAddress()};
   std::vector<std::string> Arguments = {
       "--settings", writeSettings(Name, Zone, Where), "--charts",
       AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts"};
@@ -185,16 +204,25 @@
 std::shared_ptr<PlatformCluster::Reply>
 PlatformCluster::submit(std::size_t Node, const std::string &Id, int Tasks,
                         int DeadlineMs) {
-  nlohmann::json Body = {{"spec", "text"},
-                         {"best_effort", true},
-                         {"steps",
-                          {{{"count", Tasks},
-                            {"cpu", 6000},
-                            {"mem_mb", 64},
-                            {"estimated_ms", 20}}}}};
+  nlohmann::json Body = jobBody(Tasks);
+  Body["best_effort"] = true;
   return call(Node, "POST", Prefix + Id, Body.dump(), DeadlineMs);
 }
 
+std::shared_ptr<PlatformCluster::Reply>
+PlatformCluster::submitStored(std::size_t Node, const std::string &Id,
+                              int Tasks) {
+  return call(Node, "POST", Prefix + Id, jobBody(Tasks).dump());
+}
+
+std::string PlatformCluster::state(std::size_t Node, const std::string &Id) {
+  auto Answer = call(Node, "GET", Prefix + Id);
+  until([&] { return Answer->m_Answer.has_value(); });
+  if (!Answer->has(200))
+    return "";
+  return nlohmann::json::parse((*Answer->m_Answer)->m_Body).value("state", "");
+}
+
 std::size_t PlatformCluster::startsInAll() const {
   std::size_t Total = 0;
   for (const auto &Executor : m_Executors)
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,11 @@
   /// Hands in a job of some tasks.
   std::shared_ptr<Reply> submit(std::size_t Node, const std::string &Id,
                                 int Tasks, int DeadlineMs = 5000);
+  /// Hands in a job that must be stored.
+  std::shared_ptr<Reply> submitStored(std::size_t Node, const std::string &Id,
+                                      int Tasks);
+  /// Asks a node for the state of a stored job; empty if it gives none.
+  std::string state(std::size_t Node, const std::string &Id);
   /// Asks a node whether it is ready.
   bool isReady(std::size_t Node);
 
@@ -89,12 +95,15 @@
     Address m_Readiness;
     Address m_Links;
   };
+  /// Returns an address that no other node of the cluster was given.
+  Address freeAddress();
   std::string writeSettings(const std::string &Name, const std::string &Zone,
                             const NodeAddresses &Where) const;
 
   std::vector<std::unique_ptr<test::ProcessRunner>> m_Nodes;
   std::vector<NodeAddresses> m_Addresses;
-  std::string m_Folder; ///< Of the nodes' settings.
+  std::set<std::uint16_t> m_Ports; ///< Given to nodes.
+  std::string m_Folder;            ///< Of the nodes' settings.
 };
 
 } // namespace auburnhub::platform
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -134,6 +134,11 @@
   bool operator<(const TaskRef &Other) const;
   /// Returns "job/step/index", for logs.
   std::string str() const;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("job", m_Job);
+    V("step", m_Step);
+    V("index", m_Index);
+  }
 };
 
 /// How a run of a task ended.
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -12,6 +12,11 @@
   double m_WaitShare = 0.25;
   /// Taken off the waiting time for the way between caller and owner.
   double m_PathMs = 4;
+  /// A stored task goes back to its ledger after this time without room here:
+  /// some updates of the owners' load, after which another may have room.
+  double m_StoredWaitMs = 200;
+  /// Stands in for a caller's deadline where a stored task is ranked.
+  double m_StoredTaskMs = 3600000;
   /// A result is late, but of use, up to this many times the objective.
   double m_LateFactor = 3;
   /// A run that has used this many times its expected time and has made less
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -3,6 +3,7 @@
 
 #include "auburnhub/Jobs/Job.h"
 #include "auburnhub/Jobs/JobParameters.h"
+#include "auburnhub/Jobs/StoredJob.h"
 #include "auburnhub/Jobs/WorkerBook.h"
 #include "auburnhub/Policy/Types.h"
 
@@ -31,6 +32,7 @@
   double m_ExpectedMs = 0;
   std::size_t m_Candidates = 0;
   double m_WaitedMs = 0;
+  bool m_Stored = false; ///< The worker keeps its end until that is stored.
 };
 
 /// Order: stop a run. It keeps its resources until its end is reported.
@@ -39,6 +41,15 @@
   JobReason m_Why = JobReason::None;
 };
 
+/// The one run of a stored task is over; it is not mentioned again.
+struct StoredTaskOver {
+  TaskRef m_Task;
+  std::uint32_t m_Number = 0;
+  StoredRunEnd m_How = StoredRunEnd::NotRun;
+  JobReason m_Reason = JobReason::None;
+  std::string m_Worker; ///< Empty if it never had one.
+};
+
 /// A job is over; it is not mentioned again.
 struct JobOver {
   std::string m_Job;
@@ -49,7 +60,7 @@
   std::size_t m_Runs = 0;   ///< Orders given for it.
 };
 
-using JobEffect = std::variant<StartRun, StopRun, JobOver>;
+using JobEffect = std::variant<StartRun, StopRun, JobOver, StoredTaskOver>;
 
 /// Why a run was refused. In each case the run has not started and never will.
 enum class RefusalReason {
@@ -82,6 +93,10 @@
 
   // Jobs.
   void submit(TimePoint Now, JobRequest Request);
+  /// Runs one task of a stored job once. It is followed by one StoredTaskOver;
+  /// a run that has started is over only when its worker says so.
+  void submit(TimePoint Now, const StoredTask &Task);
+  void cancel(TimePoint Now, const TaskRef &StoredTask);
   /// Returns whether the job was known.
   bool cancel(TimePoint Now, const std::string &Job);
   bool knows(const std::string &Job) const { return m_Jobs.contains(Job); }
@@ -115,6 +130,7 @@
 
   struct Task {
     TaskRef m_Ref;
+    std::size_t m_Step = 0; ///< Place among the steps of the request.
     TaskState m_State = TaskState::Blocked;
     RunId m_Run = 0;
     std::uint32_t m_LastNumber = 0;
@@ -135,10 +151,13 @@
     std::size_t m_Left = 0; ///< Tasks that are not done.
     std::size_t m_Runs = 0;
     std::size_t m_PossibleStarts = 0; ///< Orders not known to be refused.
+    bool m_Stored = false;            ///< One run of a stored job's task.
+    std::uint32_t m_StoredNumber = 0; ///< By which its ledger knows the run.
   };
 
   struct Run {
     std::string m_Job;
+    TaskRef m_Ref;
     std::size_t m_Task = 0;
     std::string m_Worker;
     Resources m_Used;
@@ -170,10 +189,18 @@
   bool startTask(TimePoint Now, Job &Item, std::size_t Index);
   void requeue(TimePoint Now, Job &Item, Task &Which);
   void finish(TimePoint Now, Job &Item, JobOutcome Outcome, JobReason Reason);
+  /// Ends the one run of a stored task.
+  void finishStored(Job &Item, StoredRunEnd How, JobReason Reason,
+                    const std::string &Worker);
+  std::uint32_t tasksOfStepOn(const Task &Which,
+                              const std::string &Worker) const;
+  std::unique_ptr<Job> makeJob(TimePoint Now, JobRequest Request) const;
   void stopRun(Run &Item, RunId Id, JobReason Why);
   void checkStalled(TimePoint Now);
   void checkDeadlines(TimePoint Now);
   void freeRun(RunId Id);
+  void storedRunEnded(TimePoint Now, Job &Item, const std::string &Worker,
+                      RunEnd How);
   void taskDone(TimePoint Now, Job &Item, Task &Which);
   void taskFailed(TimePoint Now, Job &Item, Task &Which,
                   const std::string &Worker);
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnhub {
@@ -24,6 +25,9 @@
   double m_RenewWaitMs = 250;      ///< A quarter of the lease: two may be lost.
   double m_BusyWaitMs = 120;       ///< The same while a run is overdue.
   double m_RenewSlackMs = 150;     ///< Longer than the wait: no answer.
+  /// Pause between two renewals while an end may not be acknowledged yet: the
+  /// worker answers such a renewal at once. A few appends to the log.
+  double m_HeldEndPauseMs = 30;
   double m_ProbeMs = 100; ///< Pause before a silent worker's second probe.
   double m_MaxProbeMs = 800;
 };
@@ -35,6 +39,9 @@
   std::function<void(RunId, RefusalReason)> m_Refused;
   std::function<void(RunId, RunEnd)> m_Ended;
   std::function<void(RunId, double Percent)> m_Progress;
+  /// The worker lists the end of a run that this session did not order. Returns
+  /// whether the worker must keep it until WorkerSession::settle().
+  std::function<bool(const TaskRef &, std::uint32_t Number, RunEnd)> m_StrayEnd;
   /// Another owner has a higher token; the session does nothing more.
   std::function<void()> m_Fenced;
 };
@@ -57,9 +64,12 @@
   /// Asks the worker what it runs. m_Reachable follows once it has answered.
   void begin();
 
+  /// The worker keeps the end of a stored run until settle().
   void start(RunId Id, const TaskRef &Task, std::uint32_t Number,
-             const std::string &Spec, double ExpectedMs);
+             const std::string &Spec, double ExpectedMs, bool Stored = false);
   void stop(RunId Id);
+  /// The worker may forget this end.
+  void settle(const TaskRef &Task, std::uint32_t Number);
 
   /// Changes the address or the labels.
   void update(const WorkerSpec &Spec) { m_Spec = Spec; }
@@ -81,6 +91,7 @@
     TaskRef m_Task;
     std::uint32_t m_Number = 0;
     bool m_Accepted = false;
+    bool m_Stored = false;
     bool m_InDoubt = false; ///< The start was not answered.
     bool m_StopWanted = false;
     bool m_StopPending = false;
@@ -103,6 +114,7 @@
   void onSilence();
   void probeLater();
   void takeEnds(const RenewReply &Reply);
+  std::uint64_t acknowledgeable() const;
   void takeRunning(TimePoint SentAt, const RenewReply &Reply);
   /// Returns whether there were any.
   bool stopStrays(const RenewReply &Reply);
@@ -128,6 +140,8 @@
   TimePoint m_LeaseEnd; ///< No lease that was asked for lasts longer.
   std::int64_t m_BornMs = 0;
   std::uint64_t m_LastEndSeen = 0;
+  /// Ends that the worker must keep, by their place in its list.
+  std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>> m_HeldEnds;
   std::uint64_t m_LastEndSent = 0;
   bool m_Renewing = false;
   bool m_Over = false; ///< Fenced.
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -93,12 +93,13 @@
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::start(RunId Id, const TaskRef &Task,
                                      std::uint32_t Number,
-                                     const std::string &Spec,
-                                     double ExpectedMs) {
+                                     const std::string &Spec, double ExpectedMs,
+                                     bool Stored) {
   TimePoint Now = EventLoop::now();
   Run &Added = m_Runs[Id];
   Added.m_Task = Task;
   Added.m_Number = Number;
+  Added.m_Stored = Stored;
   Added.m_StartedAt = Now;
   Added.m_ExpectedMs = ExpectedMs;
   noteLease(Now);
@@ -235,14 +236,14 @@
   bool Serving = m_Phase == m_Serving;
   RenewOrder Order;
   Order.m_Token = m_Token;
-  Order.m_LastEndSeen = m_LastEndSeen;
+  Order.m_LastEndSeen = acknowledgeable();
   if (Serving && !m_Runs.empty()) {
     noteLease(Now);
     Order.m_LeaseUntilMs = leaseUntil(Now);
     Order.m_Wait = EventLoop::Duration(static_cast<int>(
         overdue(Now) ? m_Settings.m_BusyWaitMs : m_Settings.m_RenewWaitMs));
   }
-  m_LastEndSent = m_LastEndSeen;
+  m_LastEndSent = Order.m_LastEndSeen;
   m_Renewing = true;
   m_Probe.reset();
   auto Timeout =
@@ -275,6 +276,7 @@
   if (m_BornMs != Reply.m_BornMs) {
     if (m_BornMs != 0) {
       m_LastEndSeen = 0;
+      m_HeldEnds.clear();
       endAll(RunEnd::Lapsed);
     }
     m_BornMs = Reply.m_BornMs;
@@ -290,7 +292,27 @@
   for (auto &[Id, Item] : m_Runs)
     if (Item.m_StopWanted)
       sendRunStop(Id);
-  if (!m_Runs.empty() || m_LastEndSeen > m_LastEndSent)
+  if (!m_HeldEnds.empty())
+    m_Probe = m_Loop.once(
+        EventLoop::Duration(static_cast<int>(m_Settings.m_HeldEndPauseMs)),
+        [this] { renew(); });
+  else if (!m_Runs.empty() || acknowledgeable() > m_LastEndSent)
+    renew();
+}
+
+template <WorkerTransport Transport>
+std::uint64_t WorkerSession<Transport>::acknowledgeable() const {
+  return m_HeldEnds.empty() ? m_LastEndSeen : m_HeldEnds.begin()->first - 1;
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::settle(const TaskRef &Task,
+                                      std::uint32_t Number) {
+  std::erase_if(m_HeldEnds, [&](const auto &Entry) {
+    return Entry.second.first == Task && Entry.second.second == Number;
+  });
+  if (m_HeldEnds.empty() && acknowledgeable() > m_LastEndSent &&
+      m_Phase == m_Serving)
     renew();
 }
 
@@ -300,7 +322,14 @@
     if (End.m_Sequence <= m_LastEndSeen)
       continue;
     m_LastEndSeen = End.m_Sequence;
-    if (RunId Id = findRun(End.m_Task, End.m_Number))
+    RunId Id = findRun(End.m_Task, End.m_Number);
+    bool CountsLater = End.m_How == RunEnd::Done || End.m_How == RunEnd::Failed;
+    bool Hold = Id != 0
+                    ? m_Runs.at(Id).m_Stored && CountsLater
+                    : m_Events.m_StrayEnd(End.m_Task, End.m_Number, End.m_How);
+    if (Hold)
+      m_HeldEnds[End.m_Sequence] = {End.m_Task, End.m_Number};
+    if (Id != 0)
       endRun(Id, End.m_How);
   }
 }
@@ -326,9 +355,11 @@
   for (const auto &[Id, Item] : m_Runs) {
     if (std::find(Listed.begin(), Listed.end(), Id) != Listed.end())
       continue;
-    // The list must be newer than what it is to disprove.
-    bool Missing = Item.m_Accepted && Item.m_KnownSince < SentAt;
-    bool NeverStarted = Item.m_StopConfirmed && *Item.m_StopConfirmed < SentAt;
+    // The list must be newer than what it is to disprove, and name every end.
+    bool Missing =
+        !Reply.m_HasMoreEnds && Item.m_Accepted && Item.m_KnownSince < SentAt;
+    bool NeverStarted = !Reply.m_HasMoreEnds && Item.m_StopConfirmed &&
+                        *Item.m_StopConfirmed < SentAt;
     if (Missing || NeverStarted)
       Over.push_back(Id);
   }
--- a/include/auburnhub/Jobs/WorkerTransport.h
+++ b/include/auburnhub/Jobs/WorkerTransport.h
@@ -86,6 +86,8 @@
   std::int64_t m_BornMs = 0; ///< Start of this life of the worker.
   std::vector<ListedRun> m_Running;
   std::vector<ListedEnd> m_Ended;
+  /// The worker has listed as many ends as it does at once; there may be more.
+  bool m_HasMoreEnds = false;
 };
 
 /// Carries orders to workers. Calls return at once; the answer comes later,
--- a/include/auburnhub/Node/JobRouter.h
+++ b/include/auburnhub/Node/JobRouter.h
@@ -5,10 +5,10 @@
 #include "auburnhub/Base/Metrics.h"
 #include "auburnhub/Net/EventLoop.h"
 #include "auburnhub/Node/NodeMessages.h"
+#include "auburnhub/Node/OwnerTable.h"
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 
@@ -63,14 +63,9 @@
 
   std::size_t calls() const { return m_Calls.size(); }
   bool hasOwner() const { return !m_Owners.empty(); }
+  OwnerTable &owners() { return m_Owners; }
 
 private:
-  struct Owner {
-    std::string m_DataCentre;
-    double m_FreeSlots = 0;
-    double m_WaitingTasks = 0;
-    double m_SentSince = 0; ///< Tasks sent since the last word of its load.
-  };
   struct Call {
     JobRequest m_Job;
     Done m_Done;
@@ -82,17 +77,15 @@
     double m_Tasks = 0;
   };
 
-  std::optional<std::string> choose(const Call &Item) const;
   void route(std::uint64_t Id);
   void routeWaiting();
   void finish(std::uint64_t Id, const JobResult &Result);
   void armDeadline(std::uint64_t Id, Call &Item);
 
   EventLoop &m_Loop;
-  std::string m_DataCentre;
   RouterEffects m_Effects;
   Log m_Log{"routing"};
-  std::map<std::string, Owner> m_Owners;
+  OwnerTable m_Owners;
   std::map<std::uint64_t, Call> m_Calls;
   std::map<std::string, std::uint64_t> m_ById;
   std::uint64_t m_LastCall = 0;
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -1,10 +1,13 @@
 #ifndef AUBURNHUB_NODE_NODE_H
 #define AUBURNHUB_NODE_NODE_H
 
+#include "auburnhub/Node/JobKeeper.h"
 #include "auburnhub/Node/JobRouter.h"
+#include "auburnhub/Node/LedgerCalls.h"
 #include "auburnhub/Node/PeerLinks.h"
 #include "auburnhub/Node/ShardHost.h"
 #include "auburnhub/Node/ShardMap.h"
+#include "auburnhub/Node/StoredRuns.h"
 
 #include <functional>
 #include <map>
@@ -28,6 +31,14 @@
   double m_Weight = 1; ///< Its share of a core.
   WorkerSessionSettings m_Session;
   JobParameters m_Jobs;
+  std::uint32_t m_LedgerParts = 1; ///< Partitions of the stored jobs.
+  JobKeeperSettings m_Keeper;
+};
+
+/// The state charts that a node interprets.
+struct NodeCharts {
+  StateChart m_WorkerSession;
+  StateChart m_LedgerPartition;
 };
 
 struct NodeEvents {
@@ -41,10 +52,14 @@
 /// Nodes are equal. Which of them owns a shard follows from who is up; the
 /// fencing token of a claim, which rises with the wall clock and above every
 /// token seen, decides between two that both believe to be the owner.
-template <WorkerTransport Transport> class Node {
+///
+/// Jobs that must outlive the node are in the log: a node keeps the partitions
+/// of them that the log's group gives to it.
+template <WorkerTransport Transport, JobLog Log> class Node {
 public:
-  Node(EventLoop &Loop, Transport &Orders, const StateChart &SessionChart,
-       NodeSettings Settings, MetricsRegistry &Metrics, NodeEvents Events);
+  Node(EventLoop &Loop, Transport &Orders, Log &Records,
+       const NodeCharts &Charts, NodeSettings Settings,
+       MetricsRegistry &Metrics, NodeEvents Events);
 
   /// Accepts links. Fails with Unavailable.
   absl::Status start();
@@ -71,13 +86,24 @@
               const std::function<void(bool Known)> &Done);
   bool knows(const std::string &Job) const { return m_Router.knows(Job); }
 
+  // Stored jobs.
+  /// Says whether the log has stored jobs, once that was read.
+  void jobsAreStored(bool Value);
+  bool storesJobs() const { return m_Keeper.isActive(); }
+  /// Stores a job, cancels it or asks for its state.
+  void call(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
+            double TimeLeftMs, LedgerCalls::Done Done);
+  /// Returns how many stored jobs of a queue have not started, by what the
+  /// keepers have said last.
+  std::uint64_t pending(const std::string &Queue) const;
+
   /// Hands shards over as soon as another node can take them; while none can,
   /// jobs are run on.
   void drain();
   /// Hands all shards over: the process ends soon.
   void handOver();
   /// Answers every caller at once; for a stop that cannot wait any longer.
-  void giveUpAll() { m_Router.giveUpAll(); }
+  void giveUpAll();
   /// Returns whether nothing is left that a stop would cut.
   bool drained() const;
   /// Returns whether callers' jobs can be served.
@@ -107,6 +133,24 @@
   void onFenced(const ShardId &Shard);
   void onHostChanged();
 
+  // Stored jobs.
+  LedgerPartitionEffects ledgerEffects();
+  StoredRunsEffects storedRunsEffects();
+  /// Sends to another node, or to this one, but not from within this call.
+  void sendStored(const std::string &To, const StoredJobMessage &Msg);
+  void sendStoredToAll(const StoredJobMessage &Msg);
+  void takeStored(const std::string &From, const StoredJobMessage &Msg);
+  void take(const std::string &From, const LedgerCall &Msg);
+  void take(const std::string &From, const LedgerCallAnswer &Msg);
+  void take(const std::string &From, const LedgerOpened &Msg);
+  void take(const std::string &From, const RunStoredTask &Msg);
+  void take(const std::string &From, const StopStoredRun &Msg);
+  void take(const std::string &From, const StoredEndSettled &Msg);
+  void take(const std::string &From, const StoredTaskReport &Msg);
+  void take(const std::string &From, const LedgerRuns &Msg);
+  void onLedgerStatus(const std::string &From, const NodeStatus &Status);
+  void onLedgersChanged();
+
   void accept(Requester From, const JobRequest &Job);
   void answer(const Requester &To, const JobResult &Result);
   void submitTo(const std::string &Owner, std::uint64_t Call,
@@ -129,10 +173,14 @@
   EventLoop &m_Loop;
   NodeSettings m_Settings;
   NodeEvents m_Events;
-  Log m_Log{"ownership"};
+  auburnhub::Log m_Log{"ownership"};
   ShardMap m_Shards;
   ShardHost<Transport> m_Host;
   JobRouter m_Router;
+  StoredRuns m_StoredRuns;
+  LedgerCalls m_LedgerCalls;
+  JobKeeper<Log> m_Keeper;
+  std::map<std::string, std::map<std::string, std::uint64_t>> m_PendingAt;
   std::map<std::string, WorkerSpec> m_Workers;
   std::map<std::string, TimePoint> m_Removed; ///< When its entry went.
   bool m_WorkersRead = false;
@@ -156,5 +204,7 @@
 } // namespace auburnhub
 
 #include "auburnhub/Node/NodeImpl.h"
+#include "auburnhub/Node/NodeOwnershipImpl.h"
+#include "auburnhub/Node/NodeStoredJobsImpl.h"
 
 #endif
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -44,18 +44,24 @@
 
 } // namespace nodetimes
 
-template <WorkerTransport Transport>
-Node<Transport>::Node(EventLoop &Loop, Transport &Orders,
-                      const StateChart &SessionChart, NodeSettings Settings,
-                      MetricsRegistry &Metrics, NodeEvents Events)
+template <WorkerTransport Transport, JobLog Log>
+Node<Transport, Log>::Node(EventLoop &Loop, Transport &Orders, Log &Records,
+                           const NodeCharts &Charts, NodeSettings Settings,
+                           MetricsRegistry &Metrics, NodeEvents Events)
     : m_Loop(Loop), m_Settings(std::move(Settings)),
       m_Events(std::move(Events)),
       m_Shards(m_Settings.m_Name, m_Settings.m_DataCentre, m_Settings.m_Weight),
-      m_Host(Loop, Orders, SessionChart, m_Settings.m_Session,
-             m_Settings.m_Jobs, Metrics,
-             {[this](const JobOver &Over) { onJobOver(Over); },
-              [this](const ShardId &Shard) { onFenced(Shard); },
-              [this] { onHostChanged(); }}),
+      m_Host(
+          Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
+          m_Settings.m_Jobs, Metrics,
+          {[this](const JobOver &Over) { onJobOver(Over); },
+           [this](const StoredTaskOver &Over) { m_StoredRuns.taskOver(Over); },
+           [this](const std::string &Worker, const TaskRef &Task,
+                  std::uint32_t Number, RunEnd How) {
+             return m_StoredRuns.strayEnd(Worker, Task, Number, How);
+           },
+           [this](const ShardId &Shard) { onFenced(Shard); },
+           [this] { onHostChanged(); }}),
       m_Router(Loop, m_Settings.m_DataCentre, Metrics,
                {[this](const std::string &Owner, std::uint64_t Call,
                        const JobRequest &Job) { submitTo(Owner, Call, Job); },
@@ -63,6 +69,13 @@
                   cancelAt(Owner, Job);
                 },
                 [this](const JobRequest &Job) { return couldEverRun(Job); }}),
+      m_StoredRuns(Loop, m_Settings.m_LedgerParts, storedRunsEffects()),
+      m_LedgerCalls(Loop, m_Settings.m_LedgerParts, Metrics,
+                    [this](const std::string &To, const LedgerCall &Msg) {
+                      sendStored(To, Msg);
+                    }),
+      m_Keeper(Loop, Records, Charts.m_LedgerPartition, m_Settings.m_Keeper,
+               m_Router.owners(), ledgerEffects()),
       m_Started(EventLoop::now()), m_LastTick(m_Started),
       m_ClaimNotBefore(addMs(m_Started, nodetimes::SettleMs)),
       m_Links(
@@ -81,14 +94,15 @@
   m_Tick = Loop.every(nodetimes::Heartbeat, [this] { tick(); });
 }
 
-template <WorkerTransport Transport> absl::Status Node<Transport>::start() {
+template <WorkerTransport Transport, JobLog Log>
+absl::Status Node<Transport, Log>::start() {
   return m_Links.listen(m_Settings.m_LinkAddress);
 }
 
 // Registrations and documents.
 
-template <WorkerTransport Transport>
-void Node<Transport>::putWorker(const WorkerSpec &Spec) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::putWorker(const WorkerSpec &Spec) {
   m_Removed.erase(Spec.m_Id);
   auto [It, Added] = m_Workers.try_emplace(Spec.m_Id, Spec);
   if (!Added && It->second == Spec)
@@ -101,49 +115,52 @@
   updateOwnershipSoon();
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::removeWorker(const std::string &Id) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::removeWorker(const std::string &Id) {
   if (m_Workers.contains(Id))
     m_Removed.try_emplace(Id, EventLoop::now());
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::setDocument(const std::string &Name,
-                                  std::uint64_t Version, std::string Text) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::setDocument(const std::string &Name,
+                                       std::uint64_t Version,
+                                       std::string Text) {
   m_Documents[Name] = {Name, Version, std::move(Text)};
 }
 
-template <WorkerTransport Transport>
-std::uint64_t Node<Transport>::documentVersion(const std::string &Name) const {
+template <WorkerTransport Transport, JobLog Log>
+std::uint64_t
+Node<Transport, Log>::documentVersion(const std::string &Name) const {
   auto Found = m_Documents.find(Name);
   return Found == m_Documents.end() ? 0 : Found->second.m_Version;
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::requestDocument(const std::string &Name) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::requestDocument(const std::string &Name) {
   m_Links.broadcast(DocumentRequest{Name, documentVersion(Name)});
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onDocumentRequest(const std::string &From,
-                                        const DocumentRequest &Msg) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onDocumentRequest(const std::string &From,
+                                             const DocumentRequest &Msg) {
   auto Found = m_Documents.find(Msg.m_Name);
   if (Found != m_Documents.end() && Found->second.m_Version > Msg.m_Above)
     m_Links.send(From, Found->second);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onDocument(const Document &Msg) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onDocument(const Document &Msg) {
   if (Msg.m_Version > documentVersion(Msg.m_Name))
     m_Events.m_DocumentReceived(Msg);
 }
 
 // Peers.
 
-template <WorkerTransport Transport>
-void Node<Transport>::onPeerUp(const NodeHello &Hello) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onPeerUp(const NodeHello &Hello) {
   m_Shards.nodeUp(EventLoop::now(), Hello);
   m_Links.send(Hello.m_Node, status());
+  m_Keeper.nodeUp(Hello.m_Node);
   // A node that has just started need not wait for the platform to answer.
   for (const char *Name :
        {nodedocuments::Configuration, nodedocuments::Workers})
@@ -151,10 +168,14 @@
       m_Links.send(Hello.m_Node, DocumentRequest{Name, 0});
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onPeerDown(const std::string &Name) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onPeerDown(const std::string &Name) {
   m_Shards.nodeDown(Name);
   m_Router.ownerLost(Name);
+  m_StoredRuns.keeperLost(Name);
+  m_LedgerCalls.nodeLost(Name);
+  m_Keeper.nodeLost(Name);
+  m_PendingAt.erase(Name);
   std::vector<std::string> Orphans;
   for (const auto &[Job, From] : m_Requesters)
     if (From.m_Node == Name)
@@ -164,9 +185,9 @@
   updateOwnership();
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onReceived(const std::string &From,
-                                 const Envelope &Received) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onReceived(const std::string &From,
+                                      const Envelope &Received) {
   auto Handle = [&]<typename Type>(auto &&Call, const Type *) {
     if (Received.m_Type != Type::TypeName)
       return;
@@ -192,11 +213,16 @@
          static_cast<const DocumentRequest *>(nullptr));
   Handle([&](const Document &M) { onDocument(M); },
          static_cast<const Document *>(nullptr));
+  [&]<typename... Types>(const std::variant<Types...> *) {
+    (Handle([&](const Types &M) { take(From, M); },
+            static_cast<const Types *>(nullptr)),
+     ...);
+  }(static_cast<const StoredJobMessage *>(nullptr));
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onStatus(const std::string &From,
-                               const NodeStatus &Status) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onStatus(const std::string &From,
+                                    const NodeStatus &Status) {
   bool Changed = m_Shards.nodeStatus(From, Status);
   for (const auto &[Name, Version] : Status.m_Documents)
     if (Name == nodedocuments::Configuration &&
@@ -206,40 +232,44 @@
   if (Changed)
     updateOwnership();
   m_Router.ownerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
+  onLedgerStatus(From, Status);
+  m_Keeper.place();
 }
 
 // Jobs.
 
-template <WorkerTransport Transport>
-std::uint64_t Node<Transport>::submit(JobRequest Job, JobRouter::Done Done) {
+template <WorkerTransport Transport, JobLog Log>
+std::uint64_t Node<Transport, Log>::submit(JobRequest Job,
+                                           JobRouter::Done Done) {
   return m_Router.submit(std::move(Job), std::move(Done));
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::submitTo(const std::string &Owner, std::uint64_t Call,
-                               const JobRequest &Job) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::submitTo(const std::string &Owner,
+                                    std::uint64_t Call, const JobRequest &Job) {
   if (Owner == m_Settings.m_Name)
     accept({"", Call}, Job);
   else
     m_Links.send(Owner, SubmitJob{Call, Job});
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::cancelAt(const std::string &Owner,
-                               const std::string &Job) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::cancelAt(const std::string &Owner,
+                                    const std::string &Job) {
   if (Owner == m_Settings.m_Name)
     m_Host.cancel(Job);
   else
     m_Links.send(Owner, CancelJob{Job, 0});
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onSubmit(const std::string &From, const SubmitJob &Msg) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onSubmit(const std::string &From,
+                                    const SubmitJob &Msg) {
   accept({From, Msg.m_Call}, Msg.m_Job);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::accept(Requester From, const JobRequest &Job) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::accept(Requester From, const JobRequest &Job) {
   auto Known = m_Requesters.find(Job.m_Id);
   if (Known != m_Requesters.end() && m_Host.knows(Job.m_Id)) {
     // The same job, handed in again: the newer call gets its answer.
@@ -256,8 +286,8 @@
   m_Host.submit(Job);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onJobOver(const JobOver &Over) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onJobOver(const JobOver &Over) {
   auto Found = m_Requesters.find(Over.m_Job);
   if (Found == m_Requesters.end())
     return;
@@ -266,8 +296,9 @@
   answer(To, Over.m_Result);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::answer(const Requester &To, const JobResult &Result) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::answer(const Requester &To,
+                                  const JobResult &Result) {
   JobAnswer Msg;
   Msg.m_Call = To.m_Call;
   Msg.m_Outcome = Result.m_Outcome;
@@ -282,9 +313,9 @@
     m_Links.send(To.m_Node, Msg);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::cancel(const std::string &Job,
-                             const std::function<void(bool)> &Done) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::cancel(const std::string &Job,
+                                  const std::function<void(bool)> &Done) {
   if (m_Host.cancel(Job)) {
     Done(true);
     return;
@@ -305,15 +336,16 @@
   });
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onCancel(const std::string &From, const CancelJob &Msg) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onCancel(const std::string &From,
+                                    const CancelJob &Msg) {
   bool Known = m_Host.cancel(Msg.m_Id);
   if (Msg.m_Call != 0)
     m_Links.send(From, CancelAnswer{Msg.m_Call, Known});
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onCancelAnswer(const CancelAnswer &Msg) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onCancelAnswer(const CancelAnswer &Msg) {
   auto Found = m_Cancels.find(Msg.m_Call);
   if (Found == m_Cancels.end())
     return;
@@ -324,8 +356,8 @@
   Done(Msg.m_Known);
 }
 
-template <WorkerTransport Transport>
-bool Node<Transport>::couldEverRun(const JobRequest &Job) const {
+template <WorkerTransport Transport, JobLog Log>
+bool Node<Transport, Log>::couldEverRun(const JobRequest &Job) const {
   const std::string &Service = Job.m_Policy.m_Service;
   bool AnyWorker = false;
   for (const auto &[Id, Spec] : m_Workers)
@@ -347,25 +379,34 @@
 
 // Stopping.
 
-template <WorkerTransport Transport> void Node<Transport>::drain() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::drain() {
   m_Draining = true;
+  m_Keeper.drain();
   m_Shards.setDraining();
   updateOwnership();
   sendStatus();
 }
 
-template <WorkerTransport Transport> void Node<Transport>::handOver() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::handOver() {
   m_Shards.setHandingOver();
   updateOwnership();
 }
 
-template <WorkerTransport Transport> bool Node<Transport>::drained() const {
-  return m_Router.calls() == 0 && m_Host.jobs() == 0 &&
-         m_Shards.ownClaims().empty();
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::giveUpAll() {
+  m_Router.giveUpAll();
+  m_LedgerCalls.giveUpAll();
 }
 
-} // namespace auburnhub
+template <WorkerTransport Transport, JobLog Log>
+bool Node<Transport, Log>::drained() const {
+  return m_Router.calls() == 0 && m_LedgerCalls.calls() == 0 &&
+         m_Host.jobs() == 0 && m_Shards.ownClaims().empty() &&
+         m_Keeper.isDrained();
+}
 
-#include "auburnhub/Node/NodeOwnershipImpl.h"
+} // namespace auburnhub
 
 #endif
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -1,12 +1,13 @@
 #ifndef AUBURNHUB_NODE_NODEMESSAGES_H
 #define AUBURNHUB_NODE_NODEMESSAGES_H
 
-#include "auburnhub/Jobs/Job.h"
+#include "auburnhub/Jobs/StoredJob.h"
 #include "auburnhub/Messages/Codec.h"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 /// \file
@@ -67,6 +68,17 @@
   }
 };
 
+/// A node's hold on a partition of the stored jobs.
+struct LedgerClaim {
+  std::uint32_t m_Part = 0;
+  LedgerEpoch m_Epoch = 0;
+  bool operator==(const LedgerClaim &) const = default;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("part", m_Part);
+    V("epoch", m_Epoch);
+  }
+};
+
 /// Heartbeat and load of a node, sent to all others.
 struct NodeStatus {
   static constexpr std::string_view TypeName = "node_status";
@@ -76,12 +88,20 @@
   std::uint64_t m_WaitingTasks = 0;
   /// Versions of the documents that the node has, by name.
   std::map<std::string, std::uint64_t> m_Documents;
+  /// The system has stored jobs, or had some.
+  bool m_StoresJobs = false;
+  std::vector<LedgerClaim> m_Ledgers;
+  /// Stored jobs of each queue of which no task has started, in m_Ledgers.
+  std::map<std::string, std::uint64_t> m_Pending;
   template <typename Visitor> void fields(Visitor &V) {
     V("draining", m_Draining);
     V("claims", m_Claims);
     V("free", m_FreeSlots);
     V("waiting", m_WaitingTasks);
     V("documents", m_Documents);
+    V("stores_jobs", m_StoresJobs);
+    V("ledgers", m_Ledgers);
+    V("pending", m_Pending);
   }
 };
 
@@ -137,6 +157,134 @@
   }
 };
 
+/// What a caller wants of a stored job.
+enum class LedgerCallKind { Submit = 0, State = 1, Cancel = 2 };
+
+/// Entry to the keeper of a partition.
+struct LedgerCall {
+  static constexpr std::string_view TypeName = "ledger_call";
+  std::uint64_t m_Call = 0;
+  LedgerCallKind m_Kind = LedgerCallKind::State;
+  std::uint32_t m_Part = 0;
+  std::string m_Id;
+  JobRequest m_Job; ///< For Submit.
+  template <typename Visitor> void fields(Visitor &V) {
+    V("call", m_Call);
+    V("kind", m_Kind);
+    V("part", m_Part);
+    V("id", m_Id);
+    V("job", m_Job);
+  }
+};
+
+/// How a call about a stored job ended.
+enum class LedgerCallOutcome {
+  Done = 0,    ///< What was asked for is stored, or the state is known.
+  Refused = 1, ///< The job is not stored and will not be by this call.
+  NoSuchJob = 2,
+  NotKeeper = 3, ///< Nothing was done; another node keeps the partition.
+  Unknown = 4,   ///< No answer in time; it may have been done.
+  NoKeeper = 5,  ///< Nothing was done; no node could be asked in time.
+};
+
+/// Returns the lower-case name with underscores, e.g. "no_such_job".
+std::string_view ledgerCallOutcomeName(LedgerCallOutcome Outcome);
+
+/// Keeper to entry.
+struct LedgerCallAnswer {
+  static constexpr std::string_view TypeName = "ledger_call_answer";
+  std::uint64_t m_Call = 0;
+  LedgerCallOutcome m_Outcome = LedgerCallOutcome::Unknown;
+  StoredJobState m_State = StoredJobState::Queued;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("call", m_Call);
+    V("outcome", m_Outcome);
+    V("state", m_State);
+  }
+};
+
+/// Keeper to all nodes: this node keeps the partition now. Whoever runs tasks
+/// of it says so with LedgerRuns and obeys no lower epoch any more.
+struct LedgerOpened {
+  static constexpr std::string_view TypeName = "ledger_opened";
+  LedgerClaim m_Claim;
+  template <typename Visitor> void fields(Visitor &V) { V("claim", m_Claim); }
+};
+
+/// Keeper to owner: run this task once. A StoredTaskReport follows.
+struct RunStoredTask {
+  static constexpr std::string_view TypeName = "run_stored_task";
+  LedgerClaim m_Claim;
+  StoredTask m_Task;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("claim", m_Claim);
+    V("task", m_Task);
+  }
+};
+
+/// One run of a task.
+struct StoredRun {
+  TaskRef m_Task;
+  std::uint32_t m_Number = 0;
+  bool operator==(const StoredRun &) const = default;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("task", m_Task);
+    V("number", m_Number);
+  }
+};
+
+/// Keeper to owner: this run is not wanted any more.
+struct StopStoredRun {
+  static constexpr std::string_view TypeName = "stop_stored_run";
+  LedgerClaim m_Claim;
+  StoredRun m_Run;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("claim", m_Claim);
+    V("run", m_Run);
+  }
+};
+
+/// Keeper to owner: the end of this run is stored, or of no use; its worker
+/// may forget it.
+struct StoredEndSettled {
+  static constexpr std::string_view TypeName = "stored_end_settled";
+  StoredRun m_Run;
+  template <typename Visitor> void fields(Visitor &V) { V("run", m_Run); }
+};
+
+/// Owner to keeper: how a run ended.
+struct StoredTaskReport {
+  static constexpr std::string_view TypeName = "stored_task_report";
+  std::uint32_t m_Part = 0;
+  StoredRun m_Run;
+  StoredRunEnd m_How = StoredRunEnd::NotRun;
+  JobReason m_Reason = JobReason::None;
+  std::string m_Worker; ///< Empty if it never had one.
+  template <typename Visitor> void fields(Visitor &V) {
+    V("part", m_Part);
+    V("run", m_Run);
+    V("how", m_How);
+    V("reason", m_Reason);
+    V("worker", m_Worker);
+  }
+};
+
+/// Owner to keeper, after LedgerOpened: the runs of the partition it has.
+struct LedgerRuns {
+  static constexpr std::string_view TypeName = "ledger_runs";
+  LedgerClaim m_Claim;
+  std::vector<StoredRun> m_Runs;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("claim", m_Claim);
+    V("runs", m_Runs);
+  }
+};
+
+/// Any message about stored jobs from one node to another.
+using StoredJobMessage =
+    std::variant<LedgerCall, LedgerCallAnswer, LedgerOpened, RunStoredTask,
+                 StopStoredRun, StoredEndSettled, StoredTaskReport, LedgerRuns>;
+
 /// Asks for a document if the receiver has a version above this one.
 struct DocumentRequest {
   static constexpr std::string_view TypeName = "document_request";
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -12,7 +12,8 @@
 
 namespace auburnhub {
 
-template <WorkerTransport Transport> void Node<Transport>::tick() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::tick() {
   TimePoint Now = EventLoop::now();
   double Since = millisecondsBetween(std::exchange(m_LastTick, Now), Now);
   if (Since > nodetimes::StalledMs) {
@@ -37,8 +38,8 @@
   sendStatus();
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::updateOwnershipSoon() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::updateOwnershipSoon() {
   if (std::exchange(m_UpdatePosted, true))
     return;
   m_Loop.post([this] {
@@ -47,7 +48,8 @@
   });
 }
 
-template <WorkerTransport Transport> void Node<Transport>::updateOwnership() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::updateOwnership() {
   TimePoint Now = EventLoop::now();
   std::vector<std::pair<std::string, std::string>> Workers;
   Workers.reserve(m_Workers.size());
@@ -94,8 +96,8 @@
     sendStatus();
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::claim(const ShardId &Shard) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::claim(const ShardId &Shard) {
   auto Clock = static_cast<std::uint64_t>(EventLoop::wallMilliseconds());
   std::uint64_t Token =
       std::max(Clock, m_Shards.highestToken() / nodetimes::TokensPerMs + 1) *
@@ -108,7 +110,8 @@
                                {"workers", m_Workers.size()}});
 }
 
-template <WorkerTransport Transport> void Node<Transport>::reconcile() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::reconcile() {
   std::map<std::string, HeldWorker> Wanted;
   for (const ShardClaim &Claim : m_Shards.ownClaims()) {
     if (Claim.m_Releasing)
@@ -122,8 +125,8 @@
   m_Host.reconcile(Wanted);
 }
 
-template <WorkerTransport Transport>
-void Node<Transport>::onFenced(const ShardId &Shard) {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onFenced(const ShardId &Shard) {
   if (!m_Shards.ownClaim(Shard))
     return;
   m_FencePauseMs = std::clamp(2 * m_FencePauseMs, nodetimes::MinFencePauseMs,
@@ -137,7 +140,8 @@
   sendStatus();
 }
 
-template <WorkerTransport Transport> void Node<Transport>::updateRouter() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::updateRouter() {
   std::set<std::string> Owners;
   for (const std::string &Name : m_Shards.owners()) {
     Owners.insert(Name);
@@ -152,14 +156,15 @@
     m_Router.ownerClosed(m_Settings.m_Name);
 }
 
-template <WorkerTransport Transport> bool Node<Transport>::takesJobs() const {
+template <WorkerTransport Transport, JobLog Log>
+bool Node<Transport, Log>::takesJobs() const {
   const auto &Own = m_Shards.ownClaims();
   return std::any_of(Own.begin(), Own.end(),
                      [](const auto &Claim) { return !Claim.m_Releasing; });
 }
 
-template <WorkerTransport Transport>
-NodeStatus Node<Transport>::status() const {
+template <WorkerTransport Transport, JobLog Log>
+NodeStatus Node<Transport, Log>::status() const {
   NodeStatus Result;
   Result.m_Draining = m_Draining;
   Result.m_Claims = m_Shards.ownClaims();
@@ -167,27 +172,35 @@
   Result.m_WaitingTasks = m_Host.waitingTasks();
   for (const auto &[Name, Item] : m_Documents)
     Result.m_Documents[Name] = Item.m_Version;
+  Result.m_StoresJobs = m_Keeper.isActive();
+  Result.m_Ledgers = m_Keeper.claims();
+  Result.m_Pending = m_Keeper.pending();
   return Result;
 }
 
-template <WorkerTransport Transport> void Node<Transport>::sendStatus() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::sendStatus() {
   m_StatusTimer.reset();
   m_StatusSent = EventLoop::now();
   NodeStatus Now = status();
   m_SentFree = Now.m_FreeSlots;
   m_Router.ownerLoad(m_Settings.m_Name, Now.m_FreeSlots, Now.m_WaitingTasks);
   m_Links.broadcast(Now);
+  onLedgerStatus(m_Settings.m_Name, Now);
 }
 
-template <WorkerTransport Transport> void Node<Transport>::sendStatusSoon() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::sendStatusSoon() {
   if (!m_StatusTimer)
     m_StatusTimer =
         m_Loop.once(nodetimes::LoadUpdate, [this] { sendStatus(); });
 }
 
-template <WorkerTransport Transport> void Node<Transport>::onHostChanged() {
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onHostChanged() {
   m_Router.ownerLoad(m_Settings.m_Name, m_Host.freeSlots(),
                      m_Host.waitingTasks());
+  m_Keeper.place();
   const auto &Own = m_Shards.ownClaims();
   bool Releasing = std::any_of(Own.begin(), Own.end(), [](const auto &Claim) {
     return Claim.m_Releasing;
--- /dev/null
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -0,0 +1,163 @@
+#ifndef AUBURNHUB_NODE_NODESTOREDJOBSIMPL_H
+#define AUBURNHUB_NODE_NODESTOREDJOBSIMPL_H
+
+#include "auburnhub/Node/NodeImpl.h"
+
+#include <utility>
+#include <variant>
+
+/// \file
+/// What a Node does about stored jobs: connects callers' calls, keepers of
+/// partitions and owners of workers, here and at other nodes.
+
+namespace auburnhub {
+
+template <WorkerTransport Transport, JobLog Log>
+LedgerPartitionEffects Node<Transport, Log>::ledgerEffects() {
+  return {[this](const std::string &To, const StoredJobMessage &Msg) {
+            sendStored(To, Msg);
+          },
+          [this](const StoredJobMessage &Msg) { sendStoredToAll(Msg); },
+          [this] { onLedgersChanged(); }};
+}
+
+template <WorkerTransport Transport, JobLog Log>
+StoredRunsEffects Node<Transport, Log>::storedRunsEffects() {
+  return {[this](const StoredTask &Task) { m_Host.submit(Task); },
+          [this](const TaskRef &Task) { m_Host.cancel(Task); },
+          [this](const std::string &Worker, const StoredRun &Run) {
+            m_Host.settle(Worker, Run);
+          },
+          [this](const std::string &To, const StoredJobMessage &Msg) {
+            sendStored(To, Msg);
+          }};
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::sendStored(const std::string &To,
+                                      const StoredJobMessage &Msg) {
+  if (To == m_Settings.m_Name) {
+    m_Loop.post([this, To, Msg] { takeStored(To, Msg); });
+    return;
+  }
+  std::visit([&](const auto &Item) { m_Links.send(To, Item); }, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::sendStoredToAll(const StoredJobMessage &Msg) {
+  std::visit([&](const auto &Item) { m_Links.broadcast(Item); }, Msg);
+  sendStored(m_Settings.m_Name, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::takeStored(const std::string &From,
+                                      const StoredJobMessage &Msg) {
+  std::visit([&](const auto &Item) { this->take(From, Item); }, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const LedgerCall &Msg) {
+  m_Keeper.onCall(From, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &,
+                                const LedgerCallAnswer &Msg) {
+  m_LedgerCalls.answered(Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const LedgerOpened &Msg) {
+  m_StoredRuns.opened(From, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const RunStoredTask &Msg) {
+  double Stalled = millisecondsBetween(m_LastTick, EventLoop::now());
+  if (takesJobs() && Stalled < nodetimes::StalledMs) {
+    m_StoredRuns.run(From, Msg);
+    return;
+  }
+  // After a standstill the order may be old, and run elsewhere since.
+  StoredTaskReport Refusal;
+  Refusal.m_Part = Msg.m_Claim.m_Part;
+  Refusal.m_Run = {Msg.m_Task.task(), Msg.m_Task.m_Number};
+  Refusal.m_Reason = JobReason::NoOwner;
+  sendStored(From, Refusal);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const StopStoredRun &Msg) {
+  m_StoredRuns.stop(From, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &,
+                                const StoredEndSettled &Msg) {
+  m_StoredRuns.settled(Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const StoredTaskReport &Msg) {
+  m_Keeper.onReport(From, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::take(const std::string &From,
+                                const LedgerRuns &Msg) {
+  m_Keeper.onRuns(From, Msg);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::jobsAreStored(bool Value) {
+  m_StoredRuns.setJobsAreStored(Value);
+  if (Value)
+    m_Keeper.activate(true);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::call(LedgerCallKind Kind, const std::string &Id,
+                                JobRequest Job, double TimeLeftMs,
+                                LedgerCalls::Done Done) {
+  if (Kind == LedgerCallKind::Submit && !m_Keeper.isActive()) {
+    m_StoredRuns.setJobsAreStored(true);
+    m_Keeper.activate(false);
+  }
+  m_LedgerCalls.call(Kind, Id, std::move(Job), TimeLeftMs, std::move(Done));
+}
+
+template <WorkerTransport Transport, JobLog Log>
+std::uint64_t Node<Transport, Log>::pending(const std::string &Queue) const {
+  std::uint64_t Total = 0;
+  for (const auto &[Node, Queues] : m_PendingAt)
+    if (auto Found = Queues.find(Queue); Found != Queues.end())
+      Total += Found->second;
+  return Total;
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onLedgerStatus(const std::string &From,
+                                          const NodeStatus &Status) {
+  if (Status.m_StoresJobs && !m_Draining)
+    jobsAreStored(true);
+  m_LedgerCalls.keeps(From, Status.m_Ledgers);
+  if (Status.m_Pending.empty())
+    m_PendingAt.erase(From);
+  else
+    m_PendingAt[From] = Status.m_Pending;
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onLedgersChanged() {
+  // The partition that says so is not to be dropped from within.
+  m_Loop.post([this] { sendStatus(); });
+}
+
+} // namespace auburnhub
+
+#endif
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -25,6 +25,12 @@
 
 struct ShardHostEvents {
   std::function<void(const JobOver &)> m_JobOver;
+  std::function<void(const StoredTaskOver &)> m_StoredTaskOver;
+  /// A worker lists the end of a run that nobody here has ordered. Returns
+  /// whether it must keep the end until settle().
+  std::function<bool(const std::string &Worker, const TaskRef &,
+                     std::uint32_t Number, RunEnd)>
+      m_StrayEnd;
   std::function<void(const ShardId &)> m_Fenced;
   /// The load changed, or a worker that is handed over has become idle.
   std::function<void()> m_Changed;
@@ -48,7 +54,11 @@
   void dropShard(const ShardId &Shard);
 
   void submit(JobRequest Request);
+  void submit(const StoredTask &Task);
   bool cancel(const std::string &Job);
+  void cancel(const TaskRef &StoredTask);
+  /// A worker may forget the end of this run.
+  void settle(const std::string &Worker, const StoredRun &Run);
   bool knows(const std::string &Job) const { return m_Scheduler.knows(Job); }
 
   /// Returns the workers of a shard on which something runs.
@@ -77,6 +87,7 @@
   void carryOut(const StartRun &Order);
   void carryOut(const StopRun &Order);
   void carryOut(const JobOver &Over);
+  void carryOut(const StoredTaskOver &Over) { m_Events.m_StoredTaskOver(Over); }
   void armTimer();
   void letIdleGo();
   void logEnd(RunId Run, RunEnd How);
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -108,6 +108,10 @@
     m_Scheduler.runProgress(EventLoop::now(), Run, Percent);
     m_Runs[Run].m_Percent = Percent;
   };
+  Events.m_StrayEnd = [this, Worker](const TaskRef &Task, std::uint32_t Number,
+                                     RunEnd How) {
+    return m_Events.m_StrayEnd(Worker, Task, Number, How);
+  };
   Events.m_Fenced = [this, Shard] {
     // The session that calls is dropped by what follows.
     m_Loop.post([this, Shard] { m_Events.m_Fenced(Shard); });
@@ -183,6 +187,26 @@
   pump();
 }
 
+template <WorkerTransport Transport>
+void ShardHost<Transport>::submit(const StoredTask &Task) {
+  m_Scheduler.submit(EventLoop::now(), Task);
+  schedulePump();
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::cancel(const TaskRef &StoredTask) {
+  m_Scheduler.cancel(EventLoop::now(), StoredTask);
+  schedulePump();
+}
+
+template <WorkerTransport Transport>
+void ShardHost<Transport>::settle(const std::string &Worker,
+                                  const StoredRun &Run) {
+  auto Found = m_Held.find(Worker);
+  if (Found != m_Held.end())
+    Found->second.m_Session->settle(Run.m_Task, Run.m_Number);
+}
+
 template <WorkerTransport Transport>
 bool ShardHost<Transport>::cancel(const std::string &Job) {
   bool Known = m_Scheduler.cancel(EventLoop::now(), Job);
@@ -254,7 +278,8 @@
                              {"expected_ms", std::round(Order.m_ExpectedMs)},
                              {"waited_ms", std::round(Order.m_WaitedMs)}});
   Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
-                                 Order.m_Spec, Order.m_ExpectedMs);
+                                 Order.m_Spec, Order.m_ExpectedMs,
+                                 Order.m_Stored);
 }
 
 template <WorkerTransport Transport>
