Node: Read a connection on for a while after the link has moved to another

Cause: two nodes that dial each other at once keep one of the two connections. A peer that greets again on a link that has been up for a while was taken over silently too, although it had lost the old one.

Ruled out: the scheduler's queue and the log's bound on lines (none dropped).

--- a/Source/Node/PeerLinks.cpp
+++ b/Source/Node/PeerLinks.cpp
@@ -125,8 +125,9 @@
       onHello(Id, *Hello);
     return;
   }
+  // A peer may still write to a connection that was given up for another one.
   auto Link = m_Links.find(Found->second.m_Node);
-  if (Link == m_Links.end() || Link->second.m_Connection != Id)
+  if (Link == m_Links.end())
     return;
   Link->second.m_HeardAt = EventLoop::now();
   m_Events.m_Received(Link->first, *Received);
@@ -148,30 +149,10 @@
     To.m_BackoffMs = 0;
     To.m_Node = Hello.m_Node;
   }
-  auto Existing = m_Links.find(Hello.m_Node);
-  if (Existing != m_Links.end()) {
-    // Of two links that were made at once both sides keep the one that the
-    // node with the lower name opened.
-    bool SameLife =
-        Existing->second.m_Hello.m_Incarnation == Hello.m_Incarnation;
-    bool KeepOutgoing = m_Self.m_Node < Hello.m_Node;
-    if (SameLife && Existing->second.m_Outgoing != Outgoing &&
-        Existing->second.m_Outgoing == KeepOutgoing) {
-      m_Transport.close(Id);
-      return;
-    }
-    ConnectionId Old = Existing->second.m_Connection;
-    if (!SameLife) {
-      m_Links.erase(Existing);
-      m_Events.m_Down(Hello.m_Node);
-    } else {
-      Existing->second = {Id, Outgoing, Hello, EventLoop::now()};
-      m_Transport.close(Old);
-      return;
-    }
-    m_Transport.close(Old);
-  }
-  m_Links[Hello.m_Node] = {Id, Outgoing, Hello, EventLoop::now()};
+  if (m_Links.contains(Hello.m_Node) && !replace(Id, Outgoing, Hello))
+    return;
+  TimePoint Now = EventLoop::now();
+  m_Links[Hello.m_Node] = {Id, Outgoing, Hello, Now, Now};
   m_Log.info("peer_up", {{"peer", Hello.m_Node},
                          {"incarnation", Hello.m_Incarnation},
                          {"links", m_Links.size()}});
@@ -185,6 +166,34 @@
   m_Events.m_Up(Hello);
 }
 
+bool PeerLinks::replace(ConnectionId Id, bool Outgoing,
+                        const NodeHello &Hello) {
+  Link &Known = m_Links.at(Hello.m_Node);
+  ConnectionId Old = Known.m_Connection;
+  bool SameLife = Known.m_Hello.m_Incarnation == Hello.m_Incarnation;
+  double Age = millisecondsBetween(Known.m_Since, EventLoop::now());
+  if (!SameLife || Age > GreetingMs) {
+    // The peer has started anew, or has lost the link and greets again: what
+    // was said on the old one may not have arrived.
+    m_Links.erase(Hello.m_Node);
+    m_Transport.close(Old);
+    m_Events.m_Down(Hello.m_Node);
+    return true;
+  }
+  // Of two links that were made at once both sides keep the one that the node
+  // with the lower name opened.
+  bool KeepOutgoing = m_Self.m_Node < Hello.m_Node;
+  if (Known.m_Outgoing != Outgoing && Known.m_Outgoing == KeepOutgoing) {
+    m_Retired[Id] = EventLoop::now();
+    return false;
+  }
+  Known.m_Connection = Id;
+  Known.m_Outgoing = Outgoing;
+  Known.m_HeardAt = EventLoop::now();
+  m_Retired[Old] = EventLoop::now();
+  return false;
+}
+
 void PeerLinks::onClosed(ConnectionId Id, const std::string &Reason) {
   closed(Id, Reason);
 }
@@ -195,6 +204,7 @@
     return;
   Pending Gone = Found->second;
   m_Connections.erase(Found);
+  m_Retired.erase(Id);
   if (!Gone.m_Target.empty()) {
     Target &To = m_Targets[Gone.m_Target];
     To.m_Tried = true;
@@ -221,6 +231,7 @@
       millisecondsBetween(std::exchange(m_LastCheck, Now), Now) > StalledMs;
   if (Stalled)
     return;
+  closeRetired(Now);
   std::vector<ConnectionId> Silent;
   for (const auto &[Node, Link] : m_Links)
     if (millisecondsBetween(Link.m_HeardAt, Now) > SilenceMs ||
@@ -236,6 +247,17 @@
   }
 }
 
+void PeerLinks::closeRetired(TimePoint Now) {
+  std::vector<ConnectionId> Over;
+  for (const auto &[Id, Since] : m_Retired)
+    if (millisecondsBetween(Since, Now) > GreetingMs)
+      Over.push_back(Id);
+  for (ConnectionId Id : Over) {
+    m_Retired.erase(Id);
+    m_Transport.close(Id);
+  }
+}
+
 void PeerLinks::sendBytes(const std::string &Node, std::string Bytes) {
   auto Found = m_Links.find(Node);
   if (Found != m_Links.end())
--- a/include/auburnhub/Node/PeerLinks.h
+++ b/include/auburnhub/Node/PeerLinks.h
@@ -67,6 +67,7 @@
     ConnectionId m_Connection = 0;
     bool m_Outgoing = false;
     NodeHello m_Hello;
+    TimePoint m_Since;
     TimePoint m_HeardAt;
   };
   struct Pending {
@@ -81,6 +82,10 @@
   void onOpened(ConnectionId Id, bool Incoming);
   void onReceived(ConnectionId Id, const std::string &Bytes);
   void onHello(ConnectionId Id, const NodeHello &Hello);
+  /// Decides between the link to a node and another connection to it. Returns
+  /// whether the connection becomes a new link.
+  bool replace(ConnectionId Id, bool Outgoing, const NodeHello &Hello);
+  void closeRetired(TimePoint Now);
   void onClosed(ConnectionId Id, const std::string &Reason);
   void closed(ConnectionId Id, const std::string &Reason);
   void checkSilence();
@@ -94,6 +99,9 @@
   std::map<std::string, Target> m_Targets; ///< By address.
   std::map<std::string, Link> m_Links;     ///< By node.
   std::map<ConnectionId, Pending> m_Connections;
+  /// Given up for another connection to the same node, but still read for a
+  /// while: the peer may not know yet.
+  std::map<ConnectionId, TimePoint> m_Retired;
   TimePoint m_LastCheck;
   EventLoop::Timer m_Check;
   Transport m_Transport;
