Node: Ask one peer at a time for a document

Cause: a node that could not read the platform's store asked every peer for the list of workers, and again each 300 ms. On the grown sites that is 37 answers of 150 KB each over links of 19 Mbit/s: heartbeats waited behind them, links were given up as silent by the hundred, owners were lost and their jobs with them (504). A configuration that several peers had was asked for as often.

Ruled out: the owners' processor (0.024 of a core at most) and the workers.

--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNHUB_NODE_NODE_H
 #define AUBURNHUB_NODE_NODE_H
 
+#include "auburnhub/Node/DocumentExchange.h"
 #include "auburnhub/Node/JobKeeper.h"
 #include "auburnhub/Node/JobRouter.h"
 #include "auburnhub/Node/LedgerCalls.h"
@@ -75,8 +76,7 @@
   /// Keeps a document for peers that cannot read it themselves.
   void setDocument(const std::string &Name, std::uint64_t Version,
                    std::string Text);
-  std::uint64_t documentVersion(const std::string &Name) const;
-  /// Asks peers for a document with a higher version than ours.
+  /// Gets a document with a higher version than ours from a peer.
   void requestDocument(const std::string &Name);
 
   std::uint64_t submit(JobRequest Job, JobRouter::Done Done);
@@ -127,6 +127,8 @@
   void onSubmit(const std::string &From, const SubmitJob &Msg);
   void onCancel(const std::string &From, const CancelJob &Msg);
   void onCancelAnswer(const CancelAnswer &Msg);
+  /// Notes which documents a peer has, and gets those that are needed.
+  void takeVersions(const std::string &From, const NodeStatus &Status);
   void onDocumentRequest(const std::string &From, const DocumentRequest &Msg);
   void onDocument(const Document &Msg);
   void onJobOver(const JobOver &Over);
@@ -185,7 +187,7 @@
   std::map<std::string, TimePoint> m_Removed; ///< When its entry went.
   bool m_WorkersRead = false;
   std::map<std::string, Requester> m_Requesters; ///< By job, at its owner.
-  std::map<std::string, Document> m_Documents;
+  DocumentExchange m_Documents;
   std::map<std::uint64_t, Cancelling> m_Cancels;
   std::uint64_t m_LastCancel = 0;
   TimePoint m_Started;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -76,6 +76,9 @@
                     }),
       m_Keeper(Loop, Records, Charts.m_LedgerPartition, m_Settings.m_Keeper,
                m_Router.owners(), ledgerEffects()),
+      m_Documents([this](const std::string &To, const DocumentRequest &Msg) {
+        m_Links.send(To, Msg);
+      }),
       m_Started(EventLoop::now()), m_LastTick(m_Started),
       m_ClaimNotBefore(addMs(m_Started, nodetimes::SettleMs)),
       m_Links(
@@ -125,32 +128,24 @@
 void Node<Transport, Log>::setDocument(const std::string &Name,
                                        std::uint64_t Version,
                                        std::string Text) {
-  m_Documents[Name] = {Name, Version, std::move(Text)};
-}
-
-template <WorkerTransport Transport, JobLog Log>
-std::uint64_t
-Node<Transport, Log>::documentVersion(const std::string &Name) const {
-  auto Found = m_Documents.find(Name);
-  return Found == m_Documents.end() ? 0 : Found->second.m_Version;
+  m_Documents.set(Name, Version, std::move(Text));
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::requestDocument(const std::string &Name) {
-  m_Links.broadcast(DocumentRequest{Name, documentVersion(Name)});
+  m_Documents.want(EventLoop::now(), Name);
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onDocumentRequest(const std::string &From,
                                              const DocumentRequest &Msg) {
-  auto Found = m_Documents.find(Msg.m_Name);
-  if (Found != m_Documents.end() && Found->second.m_Version > Msg.m_Above)
-    m_Links.send(From, Found->second);
+  if (const Document *Newer = m_Documents.answer(Msg))
+    m_Links.send(From, *Newer);
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onDocument(const Document &Msg) {
-  if (Msg.m_Version > documentVersion(Msg.m_Name))
+  if (m_Documents.arrived(Msg))
     m_Events.m_DocumentReceived(Msg);
 }
 
@@ -161,11 +156,6 @@
   m_Shards.nodeUp(EventLoop::now(), Hello);
   m_Links.send(Hello.m_Node, status());
   m_Keeper.nodeUp(Hello.m_Node);
-  // A node that has just started need not wait for the platform to answer.
-  for (const char *Name :
-       {nodedocuments::Configuration, nodedocuments::Workers})
-    if (documentVersion(Name) == 0)
-      m_Links.send(Hello.m_Node, DocumentRequest{Name, 0});
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -176,6 +166,7 @@
   m_LedgerCalls.nodeLost(Name);
   m_Keeper.nodeLost(Name);
   m_PendingAt.erase(Name);
+  m_Documents.peerLost(Name);
   std::vector<std::string> Orphans;
   for (const auto &[Job, From] : m_Requesters)
     if (From.m_Node == Name)
@@ -224,11 +215,7 @@
 void Node<Transport, Log>::onStatus(const std::string &From,
                                     const NodeStatus &Status) {
   bool Changed = m_Shards.nodeStatus(From, Status);
-  for (const auto &[Name, Version] : Status.m_Documents)
-    if (Name == nodedocuments::Configuration &&
-        Version > documentVersion(Name) &&
-        EventLoop::now() - m_Started > nodetimes::Heartbeat)
-      m_Links.send(From, DocumentRequest{Name, documentVersion(Name)});
+  takeVersions(From, Status);
   if (Changed)
     updateOwnership();
   m_Router.ownerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
@@ -236,6 +223,22 @@
   m_Keeper.place();
 }
 
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::takeVersions(const std::string &From,
+                                        const NodeStatus &Status) {
+  TimePoint Now = EventLoop::now();
+  m_Documents.peerHas(From, Status.m_Documents);
+  bool JustStarted = Now - m_Started < nodetimes::Heartbeat;
+  for (const auto &[Name, Version] : Status.m_Documents) {
+    std::uint64_t Own = m_Documents.version(Name);
+    // A node that has just started need not wait for the platform to answer.
+    bool Missing = Own == 0;
+    bool Older = Name == nodedocuments::Configuration && Version > Own;
+    if (Missing || (Older && !JustStarted))
+      m_Documents.want(Now, Name);
+  }
+}
+
 // Jobs.
 
 template <WorkerTransport Transport, JobLog Log>
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -34,6 +34,7 @@
     m_Workers.erase(Id);
     m_Log.info("worker_gone", {{"worker", Id}, {"workers", m_Workers.size()}});
   }
+  m_Documents.advance(Now);
   updateOwnership();
   sendStatus();
 }
@@ -170,8 +171,7 @@
   Result.m_Claims = m_Shards.ownClaims();
   Result.m_FreeSlots = m_Host.freeSlots();
   Result.m_WaitingTasks = m_Host.waitingTasks();
-  for (const auto &[Name, Item] : m_Documents)
-    Result.m_Documents[Name] = Item.m_Version;
+  Result.m_Documents = m_Documents.versions();
   Result.m_StoresJobs = m_Keeper.isActive();
   Result.m_Ledgers = m_Keeper.claims();
   Result.m_Pending = m_Keeper.pending();
