Utilities, Tests: Show a stored job that outlives its node in the demonstration

The stand-ins of the users' platform become a library, and a program for the demonstration: a stored job is handed in, its only node is killed, the next one completes it. What the stand-ins write on behalf of the platform stands in one place for the program and for PlatformTest.

--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -67,19 +67,8 @@
 
 void PlatformCluster::publishConfiguration(std::uint64_t Version,
                                            const std::string &PathPrefix) {
-  nlohmann::json Record = {{"version", Version},
-                           {"routes",
-                            {{{"name", "certify"},
-                              {"host", Host},
-                              {"path_prefix", PathPrefix},
-                              {"timeout_ms", 1500},
-                              {"target_latency_ms", 400},
-                              {"priority", 0},
-                              {"service", Service},
-                              {"max_attempts", 2},
-                              {"stretch", 1.6}}}},
-                           {"services", nlohmann::json::array()}};
-  m_Store.put("keyed.op", "config", Record.dump());
+  m_Store.put("keyed.op", "config",
+              configurationRecord(Version, Host, PathPrefix, Service).dump());
 }
 
 Address PlatformCluster::freeAddress() {
@@ -97,25 +86,12 @@
 std::string PlatformCluster::writeSettings(const std::string &Name,
                                            const std::string &Zone,
                                            const NodeAddresses &Where) const {
-  nlohmann::json Settings = {
-      {"node", Name},
-      {"zone", Zone},
-      {"listen_addresses",
-       {{"front", Where.m_Callers.str()},
-        {"ready", Where.m_Readiness.str()},
-        {"control", Where.m_Links.str()}}},
-      {"seeds", nlohmann::json::array()},
-      {"limits", {{"cpu_share", 0.25}, {"cores", 1}}},
-      {"bounds", {{"hold_max_ms", 1000}, {"grace_s", m_StopGraceSeconds}}},
-      {"platform",
-       {{"address", m_Store.address().str()},
-        {"parts", 8},
-        {"min_ttl_ms", 1000}}}};
+  NodeDescription Node{
+      Name, Zone, Where, {}, m_Store.address(), m_StopGraceSeconds};
   if (!m_Addresses.empty())
-    Settings["seeds"].push_back(m_Addresses.front().m_Links.str());
-  // JSON is YAML as well.
+    Node.m_Seeds.push_back(m_Addresses.front().m_Links);
   std::string Path = m_Folder + "/" + Name + ".yaml";
-  std::ofstream(Path) << Settings.dump();
+  std::ofstream(Path) << settingsFile(Node).dump();
   return Path;
 }
 
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -3,6 +3,7 @@
 
 #include "FakeExecutor.h"
 #include "FakeStore.h"
+#include "StandInRecords.h"
 #include "StoreClient.h"
 
 #include "System/Support/ProcessRunner.h"
@@ -90,11 +91,6 @@
   FakeStore m_Store;
   LoopHttpClient m_Client;
   std::vector<std::unique_ptr<FakeExecutor>> m_Executors;
-  struct NodeAddresses {
-    Address m_Callers;
-    Address m_Readiness;
-    Address m_Links;
-  };
   /// Returns an address that no other node of the cluster was given.
   Address freeAddress();
   std::string writeSettings(const std::string &Name, const std::string &Zone,
--- /dev/null
+++ b/Tests/Platform/StandInRecords.h
@@ -0,0 +1,44 @@
+#ifndef AUBURNHUB_TESTS_PLATFORM_STANDINRECORDS_H
+#define AUBURNHUB_TESTS_PLATFORM_STANDINRECORDS_H
+
+#include "auburnhub/Base/SettingsReader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// \file
+/// What the users' platform and its operators write, for the stand-ins.
+
+namespace auburnhub::platform {
+
+/// The addresses on which a node listens.
+struct NodeAddresses {
+  Address m_Callers;
+  Address m_Readiness;
+  Address m_Links;
+};
+
+struct NodeDescription {
+  std::string m_Name;
+  std::string m_Zone;
+  NodeAddresses m_Addresses;
+  std::vector<Address> m_Seeds;
+  Address m_Store;
+  int m_StopGraceSeconds = 6;
+};
+
+/// Returns a node's settings file. It is JSON, which is YAML as well.
+nlohmann::json settingsFile(const NodeDescription &Node);
+
+/// Returns a configuration with one queue.
+nlohmann::json configurationRecord(std::uint64_t Version,
+                                   const std::string &Host,
+                                   const std::string &PathPrefix,
+                                   const std::string &Service);
+
+} // namespace auburnhub::platform
+
+#endif
--- a/Utilities/demo.py
+++ b/Utilities/demo.py
@@ -423,6 +423,84 @@
     check_starts(system, submission, JOB_TASKS)
 
 
+def print_fields(line, names):
+    print("    " + " ".join(f"{name}={line[name]}" for name in names
+                            if name in line))
+
+
+def wait_for(condition, what):
+    """Waits until the condition gives something true, and returns it."""
+    limit = time.monotonic() + READY_LIMIT_S
+    while time.monotonic() < limit:
+        try:
+            found = condition()
+        except OSError:
+            found = None
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise DemoError(what)
+
+
+class NodeOnPlatform:
+    """An auburnhub-node beside the stand-in for the users' platform."""
+
+    def __init__(self, bin_dir, description, index, error_file):
+        node = description["nodes"][index]
+        self._headers = {"Host": description["host"]}
+        self._prefix = description["prefix"]
+        self._callers = node["callers"]
+        charts = os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                              os.pardir, "share", "auburnhub", "charts")
+        self.process = Process(f"node-{index}", [
+            os.path.join(bin_dir, "auburnhub-node"), "--settings",
+            node["settings"], "--charts", charts], error_file)
+        wait_for(lambda: call(node["readiness"], "GET", "/readiness")[0] == 200,
+                 f"node-{index} did not become ready")
+
+    def call(self, method, job, body=None):
+        status, _, text = call(self._callers, method, self._prefix + job, body,
+                               self._headers)
+        return status, json.loads(text)
+
+
+def store_job(system):
+    """A stored job outlives the node that took it."""
+    print("\nA stored job on the users' platform, whose only node is killed:")
+    with open(os.path.join(system.work_dir, "nodes.err"), "w",
+              encoding="utf-8") as errors:
+        platform = Process("fake-users-platform", [
+            os.path.join(system.bin_dir, "fake-users-platform"),
+            system.work_dir], errors)
+        started = [platform]
+        try:
+            description = platform.first_line()
+            first = NodeOnPlatform(system.bin_dir, description, 0, errors)
+            started.append(first.process)
+            job = os.urandom(8).hex()
+            body = json.dumps({"spec": "tile set 4", "steps": [
+                {"count": 2, "cpu": 1000, "mem_mb": 64}]})
+            status, answer = first.call("POST", job, body)
+            print(f"  POST {job}: {status} {answer}")
+            if status != 200:
+                raise DemoError("the job was not stored")
+            os.kill(first.process.pid, signal.SIGKILL)
+            second = NodeOnPlatform(system.bin_dir, description, 1, errors)
+            started.append(second.process)
+            wait_for(lambda: second.call("GET", job)[1].get("state") ==
+                     "completed", "the job was not completed")
+            print(f"  GET {job} at the next node: completed")
+            for line in second.process.lines:
+                if line.get("area") == "ledger" and job in json.dumps(line):
+                    print_fields(line, ("event", "task", "job", "run", "how",
+                                        "state", "age_ms"))
+        finally:
+            for process in started:
+                process.terminate()
+            for process in started:
+                process.wait()
+
+
 def print_addresses(system):
     print(f"platform: http://{system.platform_address}")
     for vm in system.vms:
@@ -453,6 +531,7 @@
     print_addresses(system)
     send_request(system)
     send_job_twice(system)
+    store_job(system)
 
 
 def run_up(system):
