Jobs: Let a worker's lease run out before a superseded end is acknowledged

A task ended done at a worker of a data centre that was cut off; the end was not stored, the next keeper started the task elsewhere after its 4 s, and when the cut healed the owner was told that the worker could forget the end: from then on the end counts, unless the worker's lease ran out in between.

The keeper says now that the task was started again since; the session gives the worker nothing new until its lease has run out, and acknowledges then.

Ruled out: waiting longer than the cut (takeovers after a crash would wait too).

--- a/Source/Jobs/JobLedger.cpp
+++ b/Source/Jobs/JobLedger.cpp
@@ -440,8 +440,8 @@
 }
 
 void JobLedger::settle(const End &Which) {
-  m_Effects.emplace_back(
-      LedgerEndSettled{Which.m_Owner, Which.m_Task, Which.m_Number});
+  m_Effects.emplace_back(LedgerEndSettled{Which.m_Owner, Which.m_Task,
+                                          Which.m_Number, Which.m_Superseded});
 }
 
 void JobLedger::recordEnd(Job &Item, const End &Which) {
@@ -508,9 +508,18 @@
                         StoredRunEnd How) {
   End Which{Owner, Task, Number};
   Job *Item = find(Task.m_Job);
+  if (Item && Item->m_Shown >= StoredJobState::Completed) {
+    Which.m_Superseded = Item->m_Shown == StoredJobState::Completed;
+    settle(Which);
+    return;
+  }
   auto Place = Item ? placeOf(*Item, Task) : std::nullopt;
-  if (!Place || Item->m_Shown >= StoredJobState::Completed ||
-      Item->m_Tasks[*Place].m_State == TaskState::Done) {
+  if (!Place) {
+    settle(Which);
+    return;
+  }
+  Which.m_Superseded = Number < Item->m_Tasks[*Place].m_Number;
+  if (Item->m_Tasks[*Place].m_State == TaskState::Done) {
     settle(Which);
     return;
   }
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -82,7 +82,7 @@
     return;
   std::string Worker = Found->second.m_Worker;
   m_Runs.erase(Found);
-  m_Effects.m_Settle(Worker, Msg.m_Run);
+  m_Effects.m_Settle(Worker, Msg);
 }
 
 void StoredRuns::keeperLost(const std::string &Keeper) {
@@ -161,7 +161,7 @@
   // Ends that were kept in doubt are those of jobs that are not stored.
   auto Kept = std::exchange(m_Runs, {});
   for (const auto &[Key, Item] : Kept)
-    m_Effects.m_Settle(Item.m_Worker, {Key.first, Key.second});
+    m_Effects.m_Settle(Item.m_Worker, {{Key.first, Key.second}, false});
 }
 
 } // namespace auburnhub
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -295,6 +295,20 @@
   BOOST_TEST((Other->task() != First->task()));
 }
 
+BOOST_AUTO_TEST_CASE(SaysOfALateEndThatTheTaskWasStartedAgain) {
+  auto First = start();
+  takeOver();
+  pass(6000);
+  for (auto Again = start(); Again; Again = start())
+    if (Again->task() == First->task())
+      BOOST_TEST(Again->m_Number > First->m_Number);
+  over(*First, StoredRunEnd::Done, "another");
+  BOOST_TEST(m_Stopped.size() == 1U);
+  store();
+  BOOST_REQUIRE(isSettled(*First));
+  BOOST_TEST(m_Settled.back().m_Superseded);
+}
+
 BOOST_AUTO_TEST_CASE(StopsRunsOfJobsThatAreOver) {
   auto First = start();
   cancel("a");
--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -298,6 +298,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(LetsTheLeaseRunOut)
+
+BOOST_AUTO_TEST_CASE(BeforeAnEndOfATaskThatWasStartedAgainIsSettled) {
+  m_KeepsStrayEnds = true;
+  m_Settings.m_LeaseMs = 40;
+  m_Settings.m_OrderTimeoutMs = 10;
+  renewed(listed({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}));
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  m_Session->settleAfterLease({"other", 0, 0}, 2);
+  BOOST_TEST(!m_Reachable);
+  // The end of its last run is listed; its lease has not run out.
+  renewed(listed({}, {{2, m_Task, 1, RunEnd::Done}}));
+  BOOST_TEST(m_Ended.contains(1));
+  BOOST_TEST(!m_Reachable);
+  // Renewals that do not extend the lease follow until it has.
+  TimePoint Begin = EventLoop::now();
+  while (!m_Reachable) {
+    BOOST_REQUIRE(millisecondsBetween(Begin, EventLoop::now()) < 10000);
+    m_Loop.io().restart();
+    m_Loop.io().run_one_for(std::chrono::milliseconds(5));
+    while (!m_Orders.m_Renewals.empty()) {
+      BOOST_TEST(!m_Orders.m_Renewals.front().m_Order.m_LeaseUntilMs);
+      renewed(listed());
+    }
+  }
+  BOOST_TEST(millisecondsBetween(Begin, EventLoop::now()) >= 40);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(TakesARunForAlive)
 
 BOOST_AUTO_TEST_CASE(WhileTheWorkerHasMoreEndsThanItLists) {
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -67,6 +67,9 @@
   std::string m_Owner;
   TaskRef m_Task;
   std::uint32_t m_Number = 0;
+  /// The task was started again since, for the run was thought to be gone: its
+  /// worker's lease must run out before the worker is told to forget the end.
+  bool m_Superseded = false;
 };
 
 /// A job is over.
@@ -179,6 +182,7 @@
     std::string m_Owner;
     TaskRef m_Task;
     std::uint32_t m_Number = 0;
+    bool m_Superseded = false;
   };
   struct Batch {
     std::vector<std::string> m_NewJobs;
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -70,6 +70,9 @@
   void stop(RunId Id);
   /// The worker may forget this end.
   void settle(const TaskRef &Task, std::uint32_t Number);
+  /// The same, but only after the worker's lease has run out: nothing is
+  /// started there meanwhile.
+  void settleAfterLease(const TaskRef &Task, std::uint32_t Number);
 
   /// Changes the address or the labels.
   void update(const WorkerSpec &Spec) { m_Spec = Spec; }
@@ -80,6 +83,8 @@
   /// Gives no more orders and tells nothing more.
   void abandon() { m_Over = true; }
   bool reachable() const { return m_Phase == m_Serving; }
+  /// Tells whether the worker may be given runs now.
+  bool takesRuns() const { return reachable() && m_AfterLease.empty(); }
   /// Returns when the worker last answered.
   TimePoint lastAnswer() const { return m_LastAnswer; }
   const WorkerSpec &spec() const { return m_Spec; }
@@ -115,6 +120,7 @@
   void probeLater();
   void takeEnds(const RenewReply &Reply);
   std::uint64_t acknowledgeable() const;
+  void settleLapsed(TimePoint Now);
   void takeRunning(TimePoint SentAt, const RenewReply &Reply);
   /// Returns whether there were any.
   bool stopStrays(const RenewReply &Reply);
@@ -143,6 +149,8 @@
   /// Ends that the worker must keep, by their place in its list.
   std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>> m_HeldEnds;
   std::uint64_t m_LastEndSent = 0;
+  /// Those of them that are settled once the lease has run out.
+  std::vector<std::pair<TaskRef, std::uint32_t>> m_AfterLease;
   bool m_Renewing = false;
   bool m_Over = false; ///< Fenced.
   double m_ProbePauseMs = 0;
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -59,7 +59,8 @@
                               {"runs", m_Runs.size()}});
   m_Phase = Taken->m_To;
   for (const std::string &Action : Taken->m_Actions)
-    m_Events.m_Reachable(Action == "announce_reachable");
+    m_Events.m_Reachable(Action == "announce_reachable" &&
+                         m_AfterLease.empty());
 }
 
 template <WorkerTransport Transport>
@@ -277,6 +278,7 @@
     if (m_BornMs != 0) {
       m_LastEndSeen = 0;
       m_HeldEnds.clear();
+      m_AfterLease.clear();
       endAll(RunEnd::Lapsed);
     }
     m_BornMs = Reply.m_BornMs;
@@ -292,6 +294,9 @@
   for (auto &[Id, Item] : m_Runs)
     if (Item.m_StopWanted)
       sendRunStop(Id);
+  settleLapsed(EventLoop::now());
+  if (m_Renewing)
+    return;
   if (!m_HeldEnds.empty())
     m_Probe = m_Loop.once(
         EventLoop::Duration(static_cast<int>(m_Settings.m_HeldEndPauseMs)),
@@ -316,6 +321,26 @@
     renew();
 }
 
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::settleAfterLease(const TaskRef &Task,
+                                                std::uint32_t Number) {
+  m_Log.info("end_kept_until_lease_ends", {{"worker", m_Spec.m_Id},
+                                           {"task", Task.str()},
+                                           {"run", Number},
+                                           {"runs", m_Runs.size()}});
+  m_AfterLease.emplace_back(Task, Number);
+  m_Events.m_Reachable(false);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::settleLapsed(TimePoint Now) {
+  if (m_AfterLease.empty() || !m_Runs.empty() || Now < m_LeaseEnd)
+    return;
+  for (const auto &[Task, Number] : std::exchange(m_AfterLease, {}))
+    settle(Task, Number);
+  m_Events.m_Reachable(reachable());
+}
+
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::takeEnds(const RenewReply &Reply) {
   for (const ListedEnd &End : Reply.m_Ended) {
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -392,8 +392,9 @@
 
 template <JobLog Log>
 void LedgerPartition<Log>::carryOut(const LedgerEndSettled &Effect) {
-  m_Effects.m_Send(Effect.m_Owner,
-                   StoredEndSettled{{Effect.m_Task, Effect.m_Number}});
+  m_Effects.m_Send(
+      Effect.m_Owner,
+      StoredEndSettled{{Effect.m_Task, Effect.m_Number}, Effect.m_Superseded});
 }
 
 template <JobLog Log>
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -249,7 +249,12 @@
 struct StoredEndSettled {
   static constexpr std::string_view TypeName = "stored_end_settled";
   StoredRun m_Run;
-  template <typename Visitor> void fields(Visitor &V) { V("run", m_Run); }
+  /// The task was started again since: the worker's lease must run out first.
+  bool m_Superseded = false;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("run", m_Run);
+    V("superseded", m_Superseded);
+  }
 };
 
 /// Owner to keeper: how a run ended.
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -25,8 +25,8 @@
 StoredRunsEffects Node<Transport, Log>::storedRunsEffects() {
   return {[this](const StoredTask &Task) { m_Host.submit(Task); },
           [this](const TaskRef &Task) { m_Host.cancel(Task); },
-          [this](const std::string &Worker, const StoredRun &Run) {
-            m_Host.settle(Worker, Run);
+          [this](const std::string &Worker, const StoredEndSettled &End) {
+            m_Host.settle(Worker, End);
           },
           [this](const std::string &To, const StoredJobMessage &Msg) {
             sendStored(To, Msg);
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -57,8 +57,8 @@
   void submit(const StoredTask &Task);
   bool cancel(const std::string &Job);
   void cancel(const TaskRef &StoredTask);
-  /// A worker may forget the end of this run.
-  void settle(const std::string &Worker, const StoredRun &Run);
+  /// A worker may forget the end of a run.
+  void settle(const std::string &Worker, const StoredEndSettled &End);
   bool knows(const std::string &Job) const { return m_Scheduler.knows(Job); }
 
   /// Returns the workers of a shard on which something runs.
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -46,7 +46,7 @@
     }
     if (Keep != Item.m_Wanted) {
       Item.m_Wanted = Keep;
-      setReachable(Id, Item.m_Session->reachable());
+      setReachable(Id, Item.m_Session->takesRuns());
     }
   }
   for (const auto &[Id, Item] : Wanted) {
@@ -201,10 +201,15 @@
 
 template <WorkerTransport Transport>
 void ShardHost<Transport>::settle(const std::string &Worker,
-                                  const StoredRun &Run) {
+                                  const StoredEndSettled &End) {
   auto Found = m_Held.find(Worker);
-  if (Found != m_Held.end())
-    Found->second.m_Session->settle(Run.m_Task, Run.m_Number);
+  if (Found == m_Held.end())
+    return;
+  Session &Of = *Found->second.m_Session;
+  if (End.m_Superseded)
+    Of.settleAfterLease(End.m_Run.m_Task, End.m_Run.m_Number);
+  else
+    Of.settle(End.m_Run.m_Task, End.m_Run.m_Number);
 }
 
 template <WorkerTransport Transport>
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -18,8 +18,9 @@
 struct StoredRunsEffects {
   std::function<void(const StoredTask &)> m_Start;
   std::function<void(const TaskRef &)> m_Stop;
-  /// The worker may forget the end of this run.
-  std::function<void(const std::string &Worker, const StoredRun &)> m_Settle;
+  /// The worker may forget the end of a run.
+  std::function<void(const std::string &Worker, const StoredEndSettled &)>
+      m_Settle;
   std::function<void(const std::string &Node, const StoredJobMessage &)> m_Send;
 };
 
