Node: Count waiting jobs by partition, and through a change of its keeper

Not reproduced in four plays; the code shows one way: the number of waiting jobs was told by node, and forgotten with the node until the partition's next keeper had read its records, which takes seconds while the store is slow. It is told by partition now and counts on until the next keeper tells its own; that one counts as soon as it serves.

LedgerCallsTest is new: the case of the count cannot pass before.

--- a/Source/Node/LedgerCalls.cpp
+++ b/Source/Node/LedgerCalls.cpp
@@ -27,16 +27,20 @@
                           "From a call about a stored job to its answer")) {}
 
 void LedgerCalls::keeps(const std::string &Node,
-                        std::span<const LedgerClaim> Claims) {
+                        std::span<const LedgerStatus> Ledgers) {
+  std::erase_if(m_Keepers, [&](const auto &Entry) {
+    bool Still =
+        std::any_of(Ledgers.begin(), Ledgers.end(), [&](const auto &L) {
+          return L.m_Claim.m_Part == Entry.first;
+        });
+    return Entry.second.m_Node == Node && !Still;
+  });
   std::vector<std::uint32_t> Found;
-  for (auto It = m_Keepers.begin(); It != m_Keepers.end();) {
-    bool Still = std::any_of(Claims.begin(), Claims.end(), [&](const auto &C) {
-      return C.m_Part == It->first;
-    });
-    It = It->second.m_Node == Node && !Still ? m_Keepers.erase(It)
-                                             : std::next(It);
-  }
-  for (const LedgerClaim &Claim : Claims) {
+  for (const LedgerStatus &Item : Ledgers) {
+    const LedgerClaim &Claim = Item.m_Claim;
+    LedgerStatus &Last = m_Statuses[Claim.m_Part];
+    if (Claim.m_Epoch >= Last.m_Claim.m_Epoch)
+      Last = Item;
     Keeper &Known = m_Keepers[Claim.m_Part];
     if (Claim.m_Epoch < Known.m_Epoch ||
         (Claim.m_Epoch == Known.m_Epoch && Known.m_Node == Node))
@@ -48,6 +52,14 @@
     routeWaiting(Part);
 }
 
+std::uint64_t LedgerCalls::pending(const std::string &Queue) const {
+  std::uint64_t Total = 0;
+  for (const auto &[Part, Item] : m_Statuses)
+    if (auto Found = Item.m_Pending.find(Queue); Found != Item.m_Pending.end())
+      Total += Found->second;
+  return Total;
+}
+
 void LedgerCalls::nodeLost(const std::string &Node) {
   std::erase_if(m_Keepers,
                 [&](const auto &Entry) { return Entry.second.m_Node == Node; });
--- /dev/null
+++ b/Tests/Node/LedgerCallsTest.cpp
@@ -0,0 +1,120 @@
+#include "auburnhub/Node/LedgerCalls.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace auburnhub;
+
+namespace {
+
+/// Callers' side of stored jobs with one partition.
+struct Calls {
+  void keeps(const std::string &Node, LedgerEpoch Epoch,
+             std::uint64_t Pending = 0) {
+    LedgerStatus Status{{0, Epoch}, {{"certify", Pending}}};
+    m_Calls.keeps(Node, std::vector{Status});
+  }
+  void submit(double TimeLeftMs = 5000) {
+    m_Calls.call(LedgerCallKind::Submit, "a", {}, TimeLeftMs,
+                 [this](LedgerCallOutcome Outcome, StoredJobState) {
+                   m_Outcome = Outcome;
+                 });
+    run();
+  }
+  void run() {
+    m_Loop.io().restart();
+    m_Loop.io().poll();
+  }
+  void answer(LedgerCallOutcome Outcome) {
+    m_Calls.answered({m_Sent.back().second, Outcome, StoredJobState::Queued});
+    run();
+  }
+  bool until(LedgerCallOutcome Outcome) {
+    TimePoint Begin = EventLoop::now();
+    while (!m_Outcome && millisecondsBetween(Begin, EventLoop::now()) < 10000) {
+      m_Loop.io().restart();
+      m_Loop.io().run_one_for(std::chrono::milliseconds(20));
+    }
+    return m_Outcome == Outcome;
+  }
+
+  EventLoop m_Loop;
+  MetricsRegistry m_Metrics;
+  std::vector<std::pair<std::string, std::uint64_t>> m_Sent;
+  LedgerCalls m_Calls{m_Loop, 1, m_Metrics,
+                      [this](const std::string &Node, const LedgerCall &Msg) {
+                        m_Sent.emplace_back(Node, Msg.m_Call);
+                      }};
+  std::optional<LedgerCallOutcome> m_Outcome;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ACallAboutAStoredJob, Calls)
+
+BOOST_AUTO_TEST_CASE(GoesToTheKeeperOfTheHighestEpoch) {
+  keeps("old", 3);
+  keeps("new", 5);
+  keeps("old", 3);
+  submit();
+  BOOST_REQUIRE(m_Sent.size() == 1U);
+  BOOST_TEST(m_Sent[0].first == "new");
+  answer(LedgerCallOutcome::Done);
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::Done));
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForAKeeper) {
+  submit();
+  BOOST_TEST(m_Sent.empty());
+  keeps("n", 1);
+  BOOST_TEST(m_Sent.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(GoesToTheNextKeeperIfOneIsLost) {
+  keeps("a", 1);
+  submit();
+  m_Calls.nodeLost("a");
+  keeps("b", 2);
+  BOOST_REQUIRE(m_Sent.size() == 2U);
+  BOOST_TEST(m_Sent[1].first == "b");
+}
+
+BOOST_AUTO_TEST_CASE(WasNotCarriedOutIfNobodyCouldBeAsked) {
+  submit(60);
+  BOOST_TEST(until(LedgerCallOutcome::NoKeeper));
+}
+
+BOOST_AUTO_TEST_CASE(WasNotCarriedOutIfWhoWasAskedDoesNotKeepIt) {
+  keeps("a", 1);
+  submit(60);
+  answer(LedgerCallOutcome::NotKeeper);
+  BOOST_TEST(until(LedgerCallOutcome::NoKeeper));
+}
+
+BOOST_AUTO_TEST_CASE(MayHaveBeenCarriedOutByAKeeperThatWasLost) {
+  keeps("a", 1);
+  submit(60);
+  m_Calls.nodeLost("a");
+  BOOST_TEST(until(LedgerCallOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(TheNumberOfWaitingJobs, Calls)
+
+BOOST_AUTO_TEST_CASE(IsTheLastOneKnownWhileTheKeeperChanges) {
+  keeps("a", 1, 7);
+  m_Calls.nodeLost("a");
+  BOOST_TEST(m_Calls.pending("certify") == 7U);
+  m_Calls.keeps("a", {});
+  BOOST_TEST(m_Calls.pending("certify") == 7U);
+  keeps("b", 2, 4);
+  BOOST_TEST(m_Calls.pending("certify") == 4U);
+  keeps("a", 1, 9);
+  BOOST_TEST(m_Calls.pending("certify") == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Node/JobKeeper.h
+++ b/include/auburnhub/Node/JobKeeper.h
@@ -19,9 +19,6 @@
   double m_JoinMs = 300;
   /// Period of what time brings: paused tasks, lapsed memberships.
   double m_TickMs = 40;
-  /// Age that the count of jobs that have not started may reach: a quarter of
-  /// what callers are promised.
-  double m_PendingMs = 500;
   LedgerPartitionSettings m_Partition;
 };
 
@@ -52,17 +49,12 @@
   /// Returns whether nothing is open any more.
   bool isDrained() const { return m_Partitions.empty() && m_Closing.empty(); }
 
-  std::vector<LedgerClaim> claims() const;
-  /// Stored jobs of each queue of which no task has started.
-  const std::map<std::string, std::uint64_t> &pending() const {
-    return m_Pending;
-  }
+  std::vector<LedgerStatus> statuses() const;
 
 private:
   using Partition = LedgerPartition<Log>;
 
   void tick();
-  void countPending(TimePoint Now);
   void note();
   void join();
   void onJoined(TimePoint SentAt, const absl::StatusOr<JobLogMembership> &Now);
@@ -87,8 +79,6 @@
   TimePoint m_Confirmed; ///< When the last join that succeeded was sent.
   std::map<std::uint32_t, std::unique_ptr<Partition>> m_Partitions;
   std::vector<std::unique_ptr<Partition>> m_Closing;
-  std::map<std::string, std::uint64_t> m_Pending;
-  TimePoint m_Counted;
   EventLoop::Timer m_Tick;
   EventLoop::Timer m_JoinTimer;
   EventLoop::Timer m_NoteTimer;
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -147,18 +147,6 @@
   for (const auto &[Part, Item] : m_Partitions)
     Item->advance(Fresh);
   dropClosed();
-  countPending(Now);
-}
-
-template <JobLog Log> void JobKeeper<Log>::countPending(TimePoint Now) {
-  if (millisecondsBetween(m_Counted, Now) < m_Settings.m_PendingMs)
-    return;
-  m_Counted = Now;
-  m_Pending.clear();
-  for (const auto &[Part, Item] : m_Partitions)
-    if (Item->isServing())
-      for (const auto &[Queue, Count] : Item->ledger().pending())
-        m_Pending[Queue] += Count;
 }
 
 template <JobLog Log> void JobKeeper<Log>::place() {
@@ -220,11 +208,12 @@
     Item->ownerLost(Node);
 }
 
-template <JobLog Log> std::vector<LedgerClaim> JobKeeper<Log>::claims() const {
-  std::vector<LedgerClaim> Result;
+template <JobLog Log>
+std::vector<LedgerStatus> JobKeeper<Log>::statuses() const {
+  std::vector<LedgerStatus> Result;
   for (const auto &[Part, Item] : m_Partitions)
     if (Item->isServing())
-      Result.push_back(Item->claim());
+      Result.push_back({Item->claim(), Item->pending()});
   return Result;
 }
 
--- a/include/auburnhub/Node/LedgerCalls.h
+++ b/include/auburnhub/Node/LedgerCalls.h
@@ -30,7 +30,7 @@
               Send Send);
 
   /// What a node says that it keeps.
-  void keeps(const std::string &Node, std::span<const LedgerClaim> Claims);
+  void keeps(const std::string &Node, std::span<const LedgerStatus> Ledgers);
   void nodeLost(const std::string &Node);
 
   /// Done is called once, never from within this call. TimeLeftMs is how long
@@ -42,6 +42,9 @@
   void giveUpAll();
 
   std::size_t calls() const { return m_Calls.size(); }
+  /// Returns how many stored jobs of a queue have not started, by what keepers
+  /// have said last; a partition counts on while its keeper changes.
+  std::uint64_t pending(const std::string &Queue) const;
 
 private:
   struct Keeper {
@@ -69,6 +72,7 @@
   Send m_Send;
   Log m_Log{"stored-calls"};
   std::map<std::uint32_t, Keeper> m_Keepers;
+  std::map<std::uint32_t, LedgerStatus> m_Statuses; ///< The last of each part.
   std::map<std::uint64_t, Call> m_Calls;
   std::uint64_t m_LastCall = 0;
   MetricsRegistry &m_Metrics;
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -33,6 +33,9 @@
   /// A caller that asks for the state of a job waits so long for its end: the
   /// time from the end of a run until it is stored, several times over.
   double m_StateWaitMs = 100;
+  /// Age that the count of jobs that have not started may reach: a quarter of
+  /// what callers are promised.
+  double m_PendingMs = 500;
   JobLedgerParameters m_Ledger;
 };
 
@@ -70,6 +73,11 @@
   /// Returns whether it is closed and nothing is open any more.
   bool isOver() const { return m_Phase == m_Closed && !m_OnItsWay; }
   const JobLedger &ledger() const { return m_Ledger; }
+  /// Returns the jobs of each queue of which no task has started; the count is
+  /// a little old.
+  const std::map<std::string, std::uint64_t> &pending() const {
+    return m_Pending;
+  }
 
   static const StateChart::Vocabulary &vocabulary();
 
@@ -99,6 +107,7 @@
   void onAppended(const absl::Status &Status);
   bool appendIsDue(TimePoint Now);
   void place(TimePoint Now);
+  void countPending(TimePoint Now);
   void carryOutEffects();
   void carryOut(const LedgerCallAnswered &Effect);
   void carryOut(const LedgerRunStopped &Effect);
@@ -122,6 +131,8 @@
   const StateChart::StateId m_Serving;
   const StateChart::StateId m_Closed;
   JobLedger m_Ledger;
+  std::map<std::string, std::uint64_t> m_Pending;
+  TimePoint m_Counted;
   std::string m_LastKey;
   std::uint64_t m_LastCall = 0;
   std::map<std::uint64_t, Caller> m_Callers;
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -128,6 +128,7 @@
 
 template <JobLog Log> void LedgerPartition<Log>::beginServing() {
   m_Ledger.begin(EventLoop::now());
+  countPending(EventLoop::now());
   m_Effects.m_SendAll(LedgerOpened{m_Claim});
 }
 
@@ -367,6 +368,13 @@
   }
 }
 
+template <JobLog Log> void LedgerPartition<Log>::countPending(TimePoint Now) {
+  if (millisecondsBetween(m_Counted, Now) < m_Settings.m_PendingMs)
+    return;
+  m_Counted = Now;
+  m_Pending = m_Ledger.pending();
+}
+
 template <JobLog Log> void LedgerPartition<Log>::advance(bool MayStart) {
   if (!isServing())
     return;
@@ -374,6 +382,7 @@
   m_Ledger.advance(Now, EventLoop::wallMilliseconds());
   carryOutEffects();
   tellWatchers(Now);
+  countPending(Now);
   if (MayStart)
     place(Now);
   append();
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -182,7 +182,6 @@
   StoredRuns m_StoredRuns;
   LedgerCalls m_LedgerCalls;
   JobKeeper<Log> m_Keeper;
-  std::map<std::string, std::map<std::string, std::uint64_t>> m_PendingAt;
   std::map<std::string, WorkerSpec> m_Workers;
   std::map<std::string, TimePoint> m_Removed; ///< When its entry went.
   bool m_WorkersRead = false;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -165,7 +165,6 @@
   m_StoredRuns.keeperLost(Name);
   m_LedgerCalls.nodeLost(Name);
   m_Keeper.nodeLost(Name);
-  m_PendingAt.erase(Name);
   m_Documents.peerLost(Name);
   std::vector<std::string> Orphans;
   for (const auto &[Job, From] : m_Requesters)
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -79,6 +79,17 @@
   }
 };
 
+/// What a keeper tells of a partition.
+struct LedgerStatus {
+  LedgerClaim m_Claim;
+  /// Stored jobs of each queue of which no task has started.
+  std::map<std::string, std::uint64_t> m_Pending;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("claim", m_Claim);
+    V("pending", m_Pending);
+  }
+};
+
 /// Heartbeat and load of a node, sent to all others.
 struct NodeStatus {
   static constexpr std::string_view TypeName = "node_status";
@@ -90,9 +101,7 @@
   std::map<std::string, std::uint64_t> m_Documents;
   /// The system has stored jobs, or had some.
   bool m_StoresJobs = false;
-  std::vector<LedgerClaim> m_Ledgers;
-  /// Stored jobs of each queue of which no task has started, in m_Ledgers.
-  std::map<std::string, std::uint64_t> m_Pending;
+  std::vector<LedgerStatus> m_Ledgers;
   template <typename Visitor> void fields(Visitor &V) {
     V("draining", m_Draining);
     V("claims", m_Claims);
@@ -101,7 +110,6 @@
     V("documents", m_Documents);
     V("stores_jobs", m_StoresJobs);
     V("ledgers", m_Ledgers);
-    V("pending", m_Pending);
   }
 };
 
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -173,8 +173,7 @@
   Result.m_WaitingTasks = m_Host.waitingTasks();
   Result.m_Documents = m_Documents.versions();
   Result.m_StoresJobs = m_Keeper.isActive();
-  Result.m_Ledgers = m_Keeper.claims();
-  Result.m_Pending = m_Keeper.pending();
+  Result.m_Ledgers = m_Keeper.statuses();
   return Result;
 }
 
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -133,11 +133,7 @@
 
 template <WorkerTransport Transport, JobLog Log>
 std::uint64_t Node<Transport, Log>::pending(const std::string &Queue) const {
-  std::uint64_t Total = 0;
-  for (const auto &[Node, Queues] : m_PendingAt)
-    if (auto Found = Queues.find(Queue); Found != Queues.end())
-      Total += Found->second;
-  return Total;
+  return m_LedgerCalls.pending(Queue);
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -146,10 +142,6 @@
   if (Status.m_StoresJobs && !m_Draining)
     jobsAreStored(true);
   m_LedgerCalls.keeps(From, Status.m_Ledgers);
-  if (Status.m_Pending.empty())
-    m_PendingAt.erase(From);
-  else
-    m_PendingAt[From] = Status.m_Pending;
 }
 
 template <WorkerTransport Transport, JobLog Log>
