Node, Jobs: Do not call a fenced append undone that may have been carried out

Cause, found by reading: a keeper whose append had no answer, and whose repeat was then refused because another keeper had come, told its callers that nothing was done. With no keeper at hand in time that became 503, although the job may be stored and run. It says 'unknown' now, which becomes 504.

LedgerPartitionTest is new, with a scripted log: its case MayBeStoredIfAnEarlierTryWasNotAnswered failed before the change.

Measured: JobsTest, NodeTest and PlatformTest pass, the changed sources are lint clean.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -52,16 +52,23 @@
     m_Effects.m_Send(Keeper, End);
 }
 
+void StoredRuns::refuse(const std::string &Keeper, const RunStoredTask &Msg,
+                        JobReason Why) const {
+  StoredTaskReport Refusal;
+  Refusal.m_Part = Msg.m_Claim.m_Part;
+  Refusal.m_Run = {Msg.m_Task.task(), Msg.m_Task.m_Number};
+  Refusal.m_How = StoredRunEnd::NotRun;
+  Refusal.m_Reason = Why;
+  m_Effects.m_Send(Keeper, Refusal);
+}
+
 void StoredRuns::run(const std::string &Keeper, const RunStoredTask &Msg) {
-  StoredRun Wanted{Msg.m_Task.task(), Msg.m_Task.m_Number};
   if (!obey(Keeper, Msg.m_Claim)) {
-    StoredTaskReport Refusal;
-    Refusal.m_Part = Msg.m_Claim.m_Part;
-    Refusal.m_Run = Wanted;
-    m_Effects.m_Send(Keeper, Refusal);
+    refuse(Keeper, Msg, JobReason::None);
     return;
   }
-  auto [It, Added] = m_Runs.try_emplace({Wanted.m_Task, Wanted.m_Number});
+  auto [It, Added] =
+      m_Runs.try_emplace({Msg.m_Task.task(), Msg.m_Task.m_Number});
   if (!Added)
     return;
   It->second.m_Part = Msg.m_Claim.m_Part;
--- /dev/null
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -0,0 +1,106 @@
+#include "auburnhub/Node/LedgerPartition.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <optional>
+
+using namespace auburnhub;
+
+namespace {
+
+/// A log whose answers the test gives one by one.
+class ScriptedLog {
+public:
+  using Done = std::function<void(absl::Status)>;
+
+  void join(LedgerEpoch,
+            const std::function<void(absl::StatusOr<JobLogMembership>)> &) {}
+  void leave(const Done &) {}
+  void open(std::uint32_t, LedgerEpoch, Done Call) {
+    m_Calls.push_back(std::move(Call));
+  }
+  void read(std::uint32_t, std::string_view,
+            const std::function<void(absl::StatusOr<JobLogPage>)> &Call) {
+    Call(JobLogPage());
+  }
+  void append(std::uint32_t, LedgerEpoch, std::uint64_t,
+              const std::vector<LedgerRecord> &, Done Call) {
+    m_Calls.push_back(std::move(Call));
+  }
+  void markInUse(const Done &) {}
+
+  std::deque<Done> m_Calls;
+};
+
+struct Partition {
+  Partition() {
+    m_Partition.begin();
+    answer(absl::OkStatus());
+    LedgerCall Call;
+    Call.m_Call = 7;
+    Call.m_Kind = LedgerCallKind::Submit;
+    Call.m_Id = "a";
+    Call.m_Job.m_Id = "a";
+    Call.m_Job.m_Steps.resize(1);
+    Call.m_Job.m_Steps[0].m_Count = 1;
+    m_Partition.onCall("entry", Call);
+  }
+
+  /// Answers the oldest call to the log, once there is one.
+  void answer(const absl::Status &Status) {
+    TimePoint Begin = EventLoop::now();
+    while (m_Log.m_Calls.empty() &&
+           millisecondsBetween(Begin, EventLoop::now()) < 10000) {
+      m_Loop.io().restart();
+      m_Loop.io().run_one_for(std::chrono::milliseconds(5));
+    }
+    BOOST_REQUIRE(!m_Log.m_Calls.empty());
+    auto Call = std::move(m_Log.m_Calls.front());
+    m_Log.m_Calls.pop_front();
+    Call(Status);
+  }
+
+  EventLoop m_Loop;
+  ScriptedLog m_Log;
+  OwnerTable m_Owners{"a"};
+  std::optional<LedgerCallOutcome> m_Outcome;
+  StateChart m_Chart = *StateChart::load(
+      AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts/ledger-partition.yaml",
+      LedgerPartition<ScriptedLog>::vocabulary());
+  LedgerPartition<ScriptedLog> m_Partition{
+      m_Loop,
+      m_Log,
+      m_Chart,
+      LedgerPartitionSettings(),
+      LedgerClaim{0, 3},
+      m_Owners,
+      {[this](const std::string &, const StoredJobMessage &Msg) {
+         if (const auto *Answer = std::get_if<LedgerCallAnswer>(&Msg))
+           m_Outcome = Answer->m_Outcome;
+       },
+       [](const StoredJobMessage &) {}, [] {}}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AJobHandedInToAPartition, Partition)
+
+BOOST_AUTO_TEST_CASE(IsAcknowledgedOnceItIsStored) {
+  BOOST_TEST(!m_Outcome.has_value());
+  answer(absl::OkStatus());
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::Done));
+}
+
+BOOST_AUTO_TEST_CASE(WasNotTakenIfAnotherKeeperFencedItsOnlyAppend) {
+  answer(absl::FailedPreconditionError("fenced"));
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::NotKeeper));
+}
+
+BOOST_AUTO_TEST_CASE(MayBeStoredIfAnEarlierTryWasNotAnswered) {
+  answer(absl::DeadlineExceededError("no answer"));
+  answer(absl::FailedPreconditionError("fenced"));
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -281,10 +281,12 @@
   }
   if (absl::IsFailedPrecondition(Status)) {
     // Earlier tries of the batch may have been carried out before the other
-    // writer came: what it was to say stays open.
+    // writer came.
+    auto Outcome =
+        m_InDoubt ? LedgerCallOutcome::Unknown : LedgerCallOutcome::NotKeeper;
     m_OnItsWay = false;
     for (const auto &[Id, To] : std::exchange(m_Callers, {}))
-      answer(To, LedgerCallOutcome::NotKeeper);
+      answer(To, Outcome);
     onLogFailure(Status);
     return;
   }
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -82,11 +82,7 @@
     return;
   }
   // After a standstill the order may be old, and run elsewhere since.
-  StoredTaskReport Refusal;
-  Refusal.m_Part = Msg.m_Claim.m_Part;
-  Refusal.m_Run = {Msg.m_Task.task(), Msg.m_Task.m_Number};
-  Refusal.m_Reason = JobReason::NoOwner;
-  sendStored(From, Refusal);
+  m_StoredRuns.refuse(From, Msg, JobReason::NoOwner);
 }
 
 template <WorkerTransport Transport, JobLog Log>
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -37,6 +37,9 @@
   // From keepers.
   void opened(const std::string &Keeper, const LedgerOpened &Msg);
   void run(const std::string &Keeper, const RunStoredTask &Msg);
+  /// Tells the keeper that the task is not run here.
+  void refuse(const std::string &Keeper, const RunStoredTask &Msg,
+              JobReason Why) const;
   void stop(const std::string &Keeper, const StopStoredRun &Msg);
   void settled(const StoredEndSettled &Msg);
   void keeperLost(const std::string &Keeper);
