Http: Answer what has arrived when a server stops

Cause of the listed failure of PlannedStopTest (a caller's connection to a stopping entry ended without an answer), found by reading and then shown: POCO's TCPServer goes on accepting for up to 250 ms after stop() and then drops what it has accepted but not given to a thread; and a connection in use whose next request had arrived was shut down before it was read.

Ruled out: the entry's router (it answers every call it gets), the drain time (the test's log had no drain_expired).

Change: the server accepts on a thread of its own. On a stop it serves what is in the listener's queue, then closes the listener; a connection in use is shut for reading only if nothing has arrived on it.

A connection that is completed between the last accept and the close of the listener is still refused by the kernel; its request was never read.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -28,6 +28,13 @@
 constexpr std::size_t MaxLingerBytes = std::size_t{16} << 20;
 constexpr Milliseconds LingerTime{1000};
 constexpr std::size_t BufferBytes = 16384;
+/// How long a connection that was opened while the server stops may take to
+/// send its request: a local round trip, generously.
+constexpr Milliseconds LastRequestTime{100};
+
+Poco::Timespan toTimespan(Milliseconds Ms) {
+  return Poco::Timespan(Ms.count() * 1000);
+}
 
 absl::Status badRequest(std::string_view Detail) {
   return makeFailure(FailureCode::BadRequest, Detail);
@@ -112,9 +119,9 @@
                                const HttpServerOptions &Options,
                                net::HTTPServerParams::Ptr Params,
                                const HttpServer::Handler &Handle,
-                               HttpStopEvent &Stop)
-    : net::TCPServerConnection(Socket), m_Options(Options),
-      m_Params(std::move(Params)), m_Handle(Handle), m_Stop(Stop) {
+                               HttpStopEvent &Stop, bool IsLast)
+    : m_Socket(Socket), m_Options(Options), m_Params(std::move(Params)),
+      m_Handle(Handle), m_Stop(Stop), m_Stopped(IsLast) {
   m_Stop += Poco::delegate(this, &HttpConnection::onStop);
 }
 
@@ -124,11 +131,10 @@
 
 void HttpConnection::run() {
   try {
-    net::HTTPServerSession Session(socket(), m_Params);
-    while (!m_Stopped && Session.hasMoreRequests()) {
+    net::HTTPServerSession Session(m_Socket, m_Params);
+    while (hasRequest(Session)) {
       std::lock_guard Lock(m_Serving);
-      if (!m_Stopped)
-        serveOne(Session);
+      serveOne(Session);
     }
     if (!Session.getKeepAlive())
       lingerBeforeClose();
@@ -138,11 +144,21 @@
   }
 }
 
+bool HttpConnection::hasRequest(net::HTTPServerSession &Session) {
+  if (!m_Stopped)
+    return Session.hasMoreRequests();
+  return Session.getKeepAlive() &&
+         m_Socket.poll(toTimespan(LastRequestTime), net::Socket::SELECT_READ) &&
+         Session.hasMoreRequests();
+}
+
 void HttpConnection::onStop(const bool &) {
   m_Stopped = true;
   std::lock_guard Lock(m_Serving);
   try {
-    socket().shutdown();
+    // A request that has come is served; without one the wait for it ends.
+    if (!m_Socket.poll(Poco::Timespan(), net::Socket::SELECT_READ))
+      m_Socket.shutdownReceive();
   } catch (const Poco::Exception &) {
     // It was closed already.
     return;
@@ -263,13 +279,13 @@
 }
 
 void HttpConnection::lingerBeforeClose() {
-  socket().shutdownSend();
+  m_Socket.shutdownSend();
   MonotonicTime Deadline = TimerService::now() + LingerTime;
-  socket().setReceiveTimeout(Poco::Timespan(LingerTime.count() * 1000));
+  m_Socket.setReceiveTimeout(toTimespan(LingerTime));
   std::array<char, BufferBytes> Buf;
   std::size_t Dropped = 0;
   while (Dropped < MaxLingerBytes && TimerService::now() < Deadline) {
-    int Count = socket().receiveBytes(Buf.data(), Buf.size());
+    int Count = m_Socket.receiveBytes(Buf.data(), Buf.size());
     if (Count <= 0)
       return;
     Dropped += static_cast<std::size_t>(Count);
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -2,14 +2,17 @@
 
 #include "HttpConnection.h"
 
+#include "auburnhub/Base/Log.h"
+
+#include <Poco/Event.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
-#include <Poco/SharedPtr.h>
+#include <Poco/Thread.h>
 #include <Poco/ThreadPool.h>
 
+#include <atomic>
+
 namespace auburnhub {
 namespace {
 
@@ -22,47 +25,48 @@
   return Poco::Timespan(Ms.count() * 1000);
 }
 
-/// Makes a connection object for each connection that is accepted.
-class ConnectionFactory : public net::TCPServerConnectionFactory {
+/// How soon the acceptor notices that it is to stop, or that a thread is free.
+constexpr Milliseconds AcceptorPause{50};
+
+/// Serves a connection on a pooled thread, and is gone with it.
+class ConnectionRun : public Poco::Runnable {
 public:
-  ConnectionFactory(const HttpServerOptions &Options,
-                    net::HTTPServerParams::Ptr Params,
-                    HttpServer::Handler Handle)
-      : m_Options(Options), m_Params(std::move(Params)),
-        m_Handle(std::move(Handle)) {}
-
-  net::TCPServerConnection *
-  createConnection(const net::StreamSocket &Socket) override {
-    return new HttpConnection(Socket, m_Options, m_Params, m_Handle, m_Stop);
-  }
+  template <typename... Arguments>
+  explicit ConnectionRun(Arguments &&...Given)
+      : m_Connection(std::forward<Arguments>(Given)...) {}
 
-  /// Waits for requests in progress and ends all connections.
-  void stopConnections() { m_Stop.notify(this, true); }
+  void run() override {
+    std::unique_ptr<ConnectionRun> Self(this);
+    m_Connection.run();
+  }
 
 private:
-  const HttpServerOptions m_Options;
-  const net::HTTPServerParams::Ptr m_Params;
-  const HttpServer::Handler m_Handle;
-  HttpStopEvent m_Stop;
+  HttpConnection m_Connection;
 };
 
 } // namespace
 
-class HttpServer::Impl {
+/// Accepts connections on a thread of its own and gives each a pooled thread.
+///
+/// Poco::Net::TCPServer drops connections that it has accepted, but not yet
+/// given to a thread, when it is stopped; here they are served.
+class HttpServer::Impl : Poco::Runnable {
 public:
-  Impl(const net::ServerSocket &Socket, const HttpServerOptions &Options,
+  Impl(net::ServerSocket Socket, const HttpServerOptions &Options,
        Handler Handle)
-      : m_Pool("http", 2, Options.m_MaxConnections + 1, /*idleTime=*/10,
+      : m_Options(Options), m_Handle(std::move(Handle)),
+        m_Socket(std::move(Socket)),
+        m_Pool("http", 2, Options.m_MaxConnections + 1, /*idleTime=*/10,
                ThreadStackBytes),
-        m_Params(makeParams(Options)),
-        m_Factory(new ConnectionFactory(Options, m_Params, std::move(Handle))),
-        m_Server(m_Factory, m_Pool, Socket, m_Params) {
-    m_Server.start();
+        m_Params(makeParams(Options)) {
+    m_Acceptor.start(*this);
   }
 
+  /// Serves what has arrived and ends all connections.
   void stop() {
-    m_Server.stop();
-    m_Factory->stopConnections();
+    m_Stopping = true;
+    m_Wake.set();
+    m_Acceptor.join();
     m_Pool.joinAll();
   }
 
@@ -70,8 +74,6 @@
   static net::HTTPServerParams::Ptr
   makeParams(const HttpServerOptions &Options) {
     net::HTTPServerParams::Ptr Params(new net::HTTPServerParams);
-    Params->setMaxThreads(Options.m_MaxConnections);
-    Params->setMaxQueued(ListenBacklog);
     Params->setKeepAlive(true);
     Params->setMaxKeepAliveRequests(0);
     Params->setKeepAliveTimeout(toTimespan(Options.m_KeepAliveTimeout));
@@ -79,10 +81,43 @@
     return Params;
   }
 
+  void run() override {
+    while (!m_Stopping)
+      acceptWithin(AcceptorPause);
+    m_StopConnections.notify(this, true);
+    while (acceptWithin(Milliseconds(0)))
+      ;
+    m_Socket.close();
+  }
+
+  /// Returns whether a connection was there. One that finds no thread waits.
+  bool acceptWithin(Milliseconds Limit) {
+    try {
+      if (!m_Socket.poll(toTimespan(Limit), net::Socket::SELECT_READ))
+        return false;
+      while (m_Pool.available() == 0)
+        m_Wake.tryWait(AcceptorPause.count());
+      m_Pool.start(*new ConnectionRun(m_Socket.acceptConnection(), m_Options,
+                                      m_Params, m_Handle, m_StopConnections,
+                                      m_Stopping.load()));
+    } catch (const Poco::Exception &E) {
+      // The caller went away, or descriptors are short; the next try tells.
+      m_Log.warning("connection_not_accepted", {{"detail", E.displayText()}});
+      m_Wake.tryWait(AcceptorPause.count());
+    }
+    return true;
+  }
+
+  const HttpServerOptions m_Options;
+  const Handler m_Handle;
+  net::ServerSocket m_Socket;
   Poco::ThreadPool m_Pool;
   const net::HTTPServerParams::Ptr m_Params;
-  Poco::SharedPtr<ConnectionFactory> m_Factory;
-  net::TCPServer m_Server;
+  HttpStopEvent m_StopConnections;
+  std::atomic<bool> m_Stopping{false};
+  Poco::Event m_Wake{/*autoReset=*/true};
+  Log m_Log{"http"};
+  Poco::Thread m_Acceptor;
 };
 
 HttpServer::HttpServer(std::unique_ptr<Impl> Server, Address Where)
