Dispatch: Let attempts in progress tell whether anything ran at a timeout

At the caller's timeout a submission was ended with what was known at that moment; an attempt whose connection is still being made counts as one that may have started.

Change: while all that may have started is still in progress, the dispatcher waits up to 100 ms for its end; attempts end by the same timeout, entries wait 250 ms beyond it. Whatever ends after the timeout is answered as a timeout.

Not shown: the failure could not be produced at will.

Besides: a trace line left in the tests' load is gone.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -15,6 +15,10 @@
 constexpr int MaxHops = 2;
 constexpr int MaxTicketsPerCall = 10000;
 constexpr std::int64_t DrainRetryAfterMs = 1000;
+/// How long attempts in progress, which end by the caller's timeout, may be
+/// late to tell whether they started anything. Less than an entry waits beyond
+/// that timeout.
+constexpr Milliseconds SettleTime{100};
 
 std::string formatHash(const XXH128_hash_t &Hash) {
   std::array<char, 33> Buf;
@@ -169,16 +173,29 @@
   Added->m_Bodies = Msg.m_Tasks;
   Added->m_Waiters.push_back({From, Msg.m_Call});
   Added->m_Timeout =
-      m_Timers.once(Milliseconds(Msg.m_TimeoutMs), m_Owner, [this, Id] {
-        Submission *Late = m_Submissions.find(Id);
-        if (Late && !Late->isOver())
-          end(*Late, Late->outcomeIfEnded(),
-              makeFailure(FailureCode::Timeout, "the caller's timeout passed"));
-      });
+      m_Timers.once(Milliseconds(Msg.m_TimeoutMs), m_Owner,
+                    [this, Id] { onTimeout(Id, /*IsSettled=*/false); });
   m_Accepted.add();
   return m_Submissions.add(std::move(Added));
 }
 
+void Dispatcher::onTimeout(const SubmissionId &Id, bool IsSettled) {
+  Submission *Late = m_Submissions.find(Id);
+  if (!Late || Late->isOver())
+    return;
+  if (!IsSettled && Late->mayTurnOutNotRun()) {
+    if (!std::exchange(Late->m_Settling, true)) {
+      m_Timers.cancel(Late->m_Timeout);
+      Late->m_Timeout = m_Timers.once(SettleTime, m_Owner, [this, Id] {
+        onTimeout(Id, /*IsSettled=*/true);
+      });
+    }
+    return;
+  }
+  end(*Late, Late->outcomeIfEnded(),
+      makeFailure(FailureCode::Timeout, "the caller's timeout passed"));
+}
+
 void Dispatcher::join(PeerId From, const Submit &Msg, Submission &Known,
                       const std::string &Digest) {
   bool IsSame = Known.m_Team == Msg.m_Team && Known.m_Digest == Digest;
@@ -580,7 +597,13 @@
 
 void Dispatcher::onTaskFailed(Submission &Owner, const absl::Status &Why,
                               CallEnd End) {
-  if (!Owner.isOver())
+  if (Owner.isOver())
+    return;
+  bool HasRun = End == CallEnd::TaskFailed || End == CallEnd::Broken;
+  bool IsLate = TimerService::now() >= Owner.m_Deadline;
+  if (IsLate && !HasRun)
+    onTimeout(Owner.m_Id, /*IsSettled=*/false);
+  else
     end(Owner, outcomeOf(End, Owner), Why);
 }
 
--- a/Source/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/Dispatcher.h
@@ -93,6 +93,10 @@
   absl::Status checkCallerId(const SubmissionId &Id) const;
   Submission &addSubmission(PeerId From, const Submit &Msg,
                             const SubmissionId &Id, const std::string &Digest);
+  /// Ends a submission whose caller's timeout has passed, once it is known
+  /// whether its attempts in progress have started anything, or is settled
+  /// that this is not to be known.
+  void onTimeout(const SubmissionId &Id, bool IsSettled);
   void join(PeerId From, const Submit &Msg, Submission &Known,
             const std::string &Digest);
   void submitTicket(PeerId From, const Submit &Msg, const std::string &Digest);
--- a/Source/Dispatch/Submission.h
+++ b/Source/Dispatch/Submission.h
@@ -60,12 +60,21 @@
   std::size_t m_TasksLeft = 0;
   /// Attempts that may have started; zero proves that nothing ran.
   std::size_t m_MayHaveStarted = 0;
+  std::size_t m_InProgress = 0; ///< Attempts that have not ended.
+  /// The caller's timeout has passed; attempts in progress may yet tell more.
+  bool m_Settling = false;
   std::vector<Waiter> m_Waiters;
   std::vector<DeferredSubmit> m_Deferred;
   std::optional<Answer> m_Answer; ///< Set once, when it is over.
 
   bool isOver() const { return m_Answer.has_value(); }
 
+  /// Returns whether the attempts in progress may yet prove that nothing ran.
+  bool mayTurnOutNotRun() const {
+    return m_InProgress != 0 && m_InProgress == m_MayHaveStarted &&
+           m_Exclusive && !m_Claiming;
+  }
+
   /// Returns the outcome of ending it now without success.
   Outcome outcomeIfEnded() const {
     if (m_MayHaveStarted == 0 && m_Exclusive && !m_Claiming)
--- a/Source/Dispatch/TaskRunner.cpp
+++ b/Source/Dispatch/TaskRunner.cpp
@@ -250,6 +250,7 @@
   const PlacementDecision &Decision = *What.m_Decision;
   ++Task.m_Attempt;
   ++Owner.m_MayHaveStarted;
+  ++Owner.m_InProgress;
   Task.m_Endpoint = Decision.m_Endpoint;
   Task.m_PlacedAt = TimerService::now();
   m_Starts.add();
@@ -333,6 +334,7 @@
 void TaskRunner::noteEnd(Happening &What) {
   CallEnd End = What.m_Reply->m_End;
   const SubmissionTask &Task = What.m_Submission.m_Tasks[What.m_Index];
+  --What.m_Submission.m_InProgress;
   if (End == CallEnd::NotStarted) {
     --What.m_Submission.m_MayHaveStarted;
     m_NotStarted.add();
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -2,8 +2,12 @@
 
 #include "auburnhub/Http/HttpServer.h"
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <future>
 
 using namespace auburnhub;
@@ -35,6 +39,21 @@
   std::unique_ptr<HttpServer> m_Server;
 };
 
+/// An address that takes connections but never completes them: its queue of
+/// connections is full.
+struct UnresponsiveEndpoint {
+  UnresponsiveEndpoint() {
+    m_Socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+    m_Socket.listen(/*backlog=*/1);
+    for (Poco::Net::StreamSocket &Each : m_Queue)
+      Each.connectNB(m_Socket.address());
+  }
+  std::string address() const { return m_Socket.address().toString(); }
+
+  Poco::Net::ServerSocket m_Socket;
+  std::array<Poco::Net::StreamSocket, 8> m_Queue;
+};
+
 /// A dispatcher whose links are recorded.
 struct Fixture {
   Fixture() {
@@ -187,6 +206,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(GivenATimeoutThatPassesDuringAttempts)
+
+BOOST_AUTO_TEST_CASE(SaysNotRunWhenNoneOfThemHadAConnection) {
+  constexpr int Tasks = 64;
+  UnresponsiveEndpoint Silent;
+  run([&] {
+    m_Dispatcher->runner().setEndpoints({{Silent.address(), "proofs", Tasks}},
+                                        {{"proofs", Tasks}});
+  });
+  Submit Job = makeSubmit();
+  Job.m_Job = true;
+  Job.m_Tasks.assign(Tasks, Bytes{"a"});
+  Job.m_TimeoutMs = 100;
+  submit(Job, 1);
+  BOOST_TEST((m_Answers[0].m_Outcome == Outcome::NotRun));
+  BOOST_TEST(m_Answers[0].m_Failure == "timeout");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(GivenATicket)
 
 BOOST_AUTO_TEST_CASE(StartsItOnceAndRemembersTheAnswer) {
--- a/Tests/System/Support/CallerLoad.cpp
+++ b/Tests/System/Support/CallerLoad.cpp
@@ -95,8 +95,6 @@
   auto Reply = m_Recorder.submit(Entry, makeSubmission(Caller, Turn));
   const bool IsRefused =
       !Reply.ok() && failureCode(Reply.status()) == FailureCode::NoEndpoint;
-  if (Reply.ok() && Reply->m_Status != 200)
-    fprintf(stderr, "TRACE %s %s\n", Entry.c_str(), Reply->m_Body.c_str());
   if (IsRefused || (Reply.ok() && saysStopping(*Reply)))
     drop(Entry);
   if (!Reply.ok() || Reply->m_Status != 200)
