--- a/Source/Ctl/CtlMain.cpp
+++ b/Source/Ctl/CtlMain.cpp
@@ -9,6 +9,10 @@
 #include "ConfigPublishCommand.h"
 #include "ConfigShowCommand.h"
 #include "ExplainCommand.h"
+#include "JobCancelCommand.h"
+#include "JobShowCommand.h"
+#include "JobSubmitCommand.h"
+#include "JobWaitingCommand.h"
 #include "StatusCommand.h"
 
 #include <optional>
@@ -24,11 +28,11 @@
     "  0  success\n"
     "  1  config diff found differences\n"
     "  2  wrong command line\n"
-    "  3  a file is not valid, or the change was refused\n"
+    "  3  a file is not valid, or the change or job was refused\n"
     "  4  the platform or a process could not be reached\n"
     "  5  another change was accepted first\n"
-    "  6  it is not known whether the change was accepted\n"
-    "  7  there is no such record or submission\n";
+    "  6  it is not known whether the change or job was accepted\n"
+    "  7  there is no such record, submission or job\n";
 
 /// Returns the words after a command's name, or nothing if it is another.
 std::optional<std::vector<std::string>>
@@ -117,8 +121,9 @@
 
 using AllCommands =
     CommandTable<ConfigCheckCommand, ConfigPublishCommand, ConfigShowCommand,
-                 ConfigDiffCommand, ConfigHistoryCommand, StatusCommand,
-                 ExplainCommand, ChartsCommand>;
+                 ConfigDiffCommand, ConfigHistoryCommand, JobSubmitCommand,
+                 JobShowCommand, JobCancelCommand, JobWaitingCommand,
+                 StatusCommand, ExplainCommand, ChartsCommand>;
 
 void showAllHelp(std::ostream &Out) {
   Out << "Usage: auburnhub-ctl COMMAND [OPTION]...\n\n"
--- a/Source/Ctl/DecisionLine.cpp
+++ b/Source/Ctl/DecisionLine.cpp
@@ -19,6 +19,20 @@
   return It->get<int>();
 }
 
+DecisionLog::DecisionLog(SubmissionId Id)
+    : m_Concerns([Id](const DecisionLine &Line) {
+        absl::StatusOr<SubmissionId> Named =
+            SubmissionId::parse(Line.text("submission"));
+        return Named.ok() && *Named == Id;
+      }) {}
+
+DecisionLog::DecisionLog(std::string Job)
+    : m_Concerns([Job = std::move(Job)](const DecisionLine &Line) {
+        // Tasks are named JOB/STEP/INDEX.
+        return Line.text("job") == Job ||
+               Line.text("task").starts_with(Job + "/");
+      }) {}
+
 void DecisionLog::read(std::istream &Input) {
   std::string Text;
   while (std::getline(Input, Text))
@@ -34,9 +48,7 @@
   }
   DecisionLine Line;
   Line.m_Fields = std::move(Fields);
-  absl::StatusOr<SubmissionId> Id =
-      SubmissionId::parse(Line.text("submission"));
-  if (!Id.ok() || *Id != m_Id)
+  if (!m_Concerns(Line))
     return;
   Line.m_Time = Line.text("time");
   Line.m_Process = Line.text("process");
--- a/Source/Ctl/ExplainCommand.cpp
+++ b/Source/Ctl/ExplainCommand.cpp
@@ -2,6 +2,7 @@
 
 #include "auburnhub/Ctl/DecisionLine.h"
 #include "auburnhub/Ctl/Explanation.h"
+#include "auburnhub/Ctl/JobExplanation.h"
 
 #include <fstream>
 
@@ -20,12 +21,11 @@
   if (Words.size() != 1)
     return reportCtlFailure(Terminal, CtlExit::Usage,
                             "explain: expected one ID");
-  absl::StatusOr<SubmissionId> Id = SubmissionId::parse(Words.front());
-  if (!Id.ok())
-    return reportCtlFailure(Terminal, CtlExit::Usage, Id.status());
   if (m_Logs.empty())
     m_Logs.emplace_back("-");
-  DecisionLog Lines(*Id);
+  // Whatever is no submission id is the id of a job that nodes run.
+  absl::StatusOr<SubmissionId> Id = SubmissionId::parse(Words.front());
+  DecisionLog Lines = Id.ok() ? DecisionLog(*Id) : DecisionLog(Words.front());
   for (const std::string &Path : m_Logs) {
     if (Path == "-") {
       Lines.read(Terminal.m_In);
@@ -38,7 +38,8 @@
     Lines.read(File);
   }
   std::vector<DecisionLine> Ordered = Lines.ordered();
-  Terminal.m_Out << explainSubmission(*Id, Ordered);
+  Terminal.m_Out << (Id.ok() ? explainSubmission(*Id, Ordered)
+                             : explainJob(Words.front(), Ordered));
   if (Lines.malformedLines() != 0)
     Terminal.m_Error << "auburnhub-ctl: " << Lines.malformedLines()
                      << " lines are no JSON objects and were skipped\n";
--- a/Source/Jobs/Job.cpp
+++ b/Source/Jobs/Job.cpp
@@ -1,4 +1,6 @@
 #include "auburnhub/Jobs/Job.h"
+
+#include "auburnhub/Base/Failure.h"
 #include "auburnhub/Jobs/WorkerTransport.h"
 
 #include <algorithm>
@@ -21,6 +23,21 @@
   return *this;
 }
 
+absl::Status checkSteps(std::span<const JobStep> Steps) {
+  constexpr std::uint64_t MaxTasks = 1000;
+  std::uint64_t Tasks = 0;
+  for (std::size_t I = 0; I < Steps.size(); ++I) {
+    Tasks += Steps[I].m_Count;
+    for (std::uint32_t After : Steps[I].m_After)
+      if (After >= I)
+        return makeFailure(FailureCode::BadRequest,
+                           "a step must come after the steps it waits for");
+  }
+  if (Tasks == 0 || Tasks > MaxTasks)
+    return makeFailure(FailureCode::BadRequest, "expected 1 to 1000 tasks");
+  return absl::OkStatus();
+}
+
 std::string_view jobOutcomeName(JobOutcome Outcome) {
   static constexpr std::array<std::string_view, 4> Names = {
       "completed", "failed", "not_run", "given_up"};
@@ -28,9 +45,9 @@
 }
 
 std::string_view jobReasonName(JobReason Reason) {
-  static constexpr std::array<std::string_view, 9> Names = {
+  static constexpr std::array<std::string_view, 10> Names = {
       "none",       "no_room",    "timed_out", "cancelled", "attempts_spent",
-      "never_fits", "owner_lost", "no_owner",  "stopping"};
+      "never_fits", "owner_lost", "no_owner",  "stopping",  "not_stored"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
--- /dev/null
+++ b/Source/Node/JobReply.cpp
@@ -0,0 +1,60 @@
+#include "auburnhub/Node/JobReply.h"
+
+namespace auburnhub {
+namespace {
+
+/// A partition changes hands, or a short outage of the log ends, within this
+/// time, in milliseconds.
+constexpr double LogRetryAfterMs = 1000;
+
+} // namespace
+
+JobReply replyOf(const JobResult &Result) {
+  JobReply Reply;
+  Reply.m_Reason = Result.m_Reason;
+  switch (Result.m_Outcome) {
+  case JobOutcome::Completed:
+    Reply.m_Kind = JobReplyKind::Done;
+    Reply.m_State = StoredJobState::Completed;
+    break;
+  case JobOutcome::Failed:
+    Reply.m_Kind = JobReplyKind::Done;
+    Reply.m_State = StoredJobState::Failed;
+    break;
+  case JobOutcome::NotRun:
+    Reply.m_Kind = JobReplyKind::Refused;
+    Reply.m_RetryAfterMs = Result.m_RetryAfterMs;
+    break;
+  case JobOutcome::GivenUp:
+    break;
+  }
+  return Reply;
+}
+
+JobReply replyOf(LedgerCallKind Kind, LedgerCallOutcome Outcome,
+                 StoredJobState State) {
+  JobReply Reply;
+  switch (Outcome) {
+  case LedgerCallOutcome::Done:
+    Reply.m_Kind = JobReplyKind::Done;
+    Reply.m_State =
+        Kind == LedgerCallKind::Cancel ? StoredJobState::Cancelled : State;
+    return Reply;
+  case LedgerCallOutcome::NoSuchJob:
+    Reply.m_Kind = JobReplyKind::NoSuchJob;
+    return Reply;
+  case LedgerCallOutcome::Unknown:
+    Reply.m_Reason = JobReason::NotStored;
+    return Reply;
+  case LedgerCallOutcome::Refused:
+  case LedgerCallOutcome::NotKeeper:
+  case LedgerCallOutcome::NoKeeper:
+    break;
+  }
+  Reply.m_Kind = JobReplyKind::Refused;
+  Reply.m_Reason = JobReason::NotStored;
+  Reply.m_RetryAfterMs = LogRetryAfterMs;
+  return Reply;
+}
+
+} // namespace auburnhub
--- a/Source/Node/QueueTable.cpp
+++ b/Source/Node/QueueTable.cpp
@@ -1,5 +1,7 @@
 #include "auburnhub/Node/QueueTable.h"
 
+#include <algorithm>
+
 namespace auburnhub {
 
 const QueueEntry *QueueTable::find(std::string_view Host,
@@ -13,4 +15,11 @@
   return Best;
 }
 
+const QueueEntry *QueueTable::named(std::string_view Queue) const {
+  auto Found = std::find_if(
+      m_Queues.begin(), m_Queues.end(),
+      [&](const QueueEntry &Entry) { return Entry.m_Policy.m_Queue == Queue; });
+  return Found == m_Queues.end() ? nullptr : &*Found;
+}
+
 } // namespace auburnhub
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -27,13 +27,13 @@
                                        const std::string &State) const {
   nlohmann::json Entry = {
       {"service", Service},
-      {"address", address()},
+      {"address", m_PublicAddress.empty() ? address() : m_PublicAddress},
       {"zone", Zone},
       {"version", "v1"},
       {"slots", 8},
       {"state", State},
       {"cold_remaining_ms", 0},
-      {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpu", 0}}},
+      {"capacity", {{"cpu", CpuMillis}, {"mem_mb", 32768}, {"gpu", 0}}},
       {"labels", {"a", "r1-3"}},
       {"sequence", 4}};
   return Entry.dump();
@@ -47,7 +47,29 @@
 
 std::int64_t FakeExecutor::clock() const {
   return static_cast<std::int64_t>(
-      millisecondsBetween(m_Born, EventLoop::now()));
+      m_Behaviour.m_ClockRate * millisecondsBetween(m_Born, EventLoop::now()));
+}
+
+std::int64_t FakeExecutor::cpuTaken() const {
+  std::int64_t Total = 0;
+  for (const auto &[Task, Item] : m_Running)
+    Total += Item.m_CpuMillis;
+  return Total;
+}
+
+void FakeExecutor::crash() {
+  TimePoint Now = EventLoop::now();
+  for (const auto &[Task, Item] : std::exchange(m_Running, {}))
+    m_Journal.push_back({Task, Item.m_Run, "crashed", Now});
+  m_Ended.clear();
+  m_HighestRun.clear();
+  m_Late.clear();
+  m_LeaseTimer.reset();
+  m_LeaseUntil = 0;
+  m_LastSequence = 0;
+  m_Token = 0;
+  m_Born = Now;
+  ++m_Life;
 }
 
 void FakeExecutor::conflict(const HttpExchange &Exchange,
@@ -56,6 +78,10 @@
 }
 
 void FakeExecutor::onCall(const HttpExchange &Exchange) {
+  if (m_Behaviour.m_IsDark) {
+    m_Unanswered.push_back(Exchange);
+    return;
+  }
   const HttpRequest &Request = Exchange.request();
   auto Body = nlohmann::json::parse(Request.m_Body, nullptr, false);
   if (!Body.is_object()) {
@@ -97,8 +123,9 @@
   std::int64_t Until =
       std::min(Body["until_ms"].get<std::int64_t>(), clock() + LongestLeaseMs);
   m_LeaseUntil = std::max(m_LeaseUntil, Until);
-  auto Left =
-      EventLoop::Duration(std::max<std::int64_t>(0, m_LeaseUntil - clock()));
+  auto Left = EventLoop::Duration(static_cast<std::int64_t>(
+      static_cast<double>(std::max<std::int64_t>(0, m_LeaseUntil - clock())) /
+      m_Behaviour.m_ClockRate));
   m_LeaseTimer = m_Loop.once(Left, [this] {
     std::vector<std::string> All;
     for (const auto &[Task, Item] : m_Running)
@@ -125,14 +152,26 @@
     conflict(Exchange, "old");
     return;
   }
+  auto Spec = nlohmann::json::parse(Body.value("spec", ""), nullptr, false);
+  bool Says = Spec.is_object();
+  std::int64_t Cpu = Says ? Spec.value("cpu", std::int64_t{0}) : 0;
+  if (cpuTaken() + Cpu > CpuMillis) {
+    conflict(Exchange, "room");
+    return;
+  }
+  auto RunTime = static_cast<double>(m_Behaviour.m_RunTime.count());
   Running &Added = m_Running[Task];
   Added.m_Run = Run;
   Added.m_Started = EventLoop::now();
+  Added.m_CpuMillis = Cpu;
+  Added.m_TakesMs =
+      m_Behaviour.m_Slowness * (Says ? Spec.value("ms", RunTime) : RunTime);
+  m_MostCpuTaken = std::max(m_MostCpuTaken, cpuTaken());
   m_Journal.push_back({Task, Run, "start", EventLoop::now()});
   if (!m_Behaviour.m_Hangs)
-    Added.m_Timer = m_Loop.once(m_Behaviour.m_RunTime, [this, Task] {
-      end(Task, m_Behaviour.m_Fails ? "failed" : "done");
-    });
+    Added.m_Timer = m_Loop.once(
+        EventLoop::Duration(static_cast<int>(Added.m_TakesMs)),
+        [this, Task] { end(Task, m_Behaviour.m_Fails ? "failed" : "done"); });
   extendLease(Body);
   Exchange.respond(jsonResponse(200, {{"clock_ms", clock()}}));
 }
@@ -165,7 +204,7 @@
   TimePoint Now = EventLoop::now();
   for (const auto &[Task, Item] : m_Running) {
     double Share = millisecondsBetween(Item.m_Started, Now) /
-                   static_cast<double>(m_Behaviour.m_RunTime.count());
+                   std::max(1.0, Item.m_TakesMs);
     int Percent =
         m_Behaviour.m_Hangs ? 0 : static_cast<int>(std::min(99.0, 100 * Share));
     Running.push_back({Task, Item.m_Run, "", Percent});
@@ -175,7 +214,7 @@
     Finished.push_back(
         {Item.m_Sequence, Item.m_Task, Item.m_Run, Item.m_How, ""});
   return {{"clock_ms", clock()},
-          {"born", 1000},
+          {"born", m_Life},
           {"running", Running},
           {"finished", Finished}};
 }
@@ -183,8 +222,13 @@
 void FakeExecutor::onRenew(const HttpExchange &Exchange,
                            const nlohmann::json &Body) {
   auto Seen = Body.value("last_seen", std::uint64_t{0});
-  std::erase_if(m_Ended,
-                [&](const Ended &Item) { return Item.m_Sequence <= Seen; });
+  std::erase_if(m_Ended, [&](const Ended &Item) {
+    bool IsSeen = Item.m_Sequence <= Seen;
+    if (IsSeen)
+      m_Journal.push_back(
+          {Item.m_Task, Item.m_Run, "acknowledged", EventLoop::now()});
+    return IsSeen;
+  });
   extendLease(Body);
   int Wait = Body.value("wait_ms", 0);
   if (Wait == 0 || !m_Ended.empty()) {
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -13,7 +13,10 @@
 namespace auburnhub::platform {
 
 /// Stands in for one executor: runs tasks under a lease and a fencing token,
-/// and keeps a journal of every start and end.
+/// and keeps a journal of every start, end and acknowledged end.
+///
+/// A spec that is a JSON object may say how long its tasks run (`ms`) and how
+/// many thousandths of a core they take (`cpu`).
 class FakeExecutor {
 public:
   struct Behaviour {
@@ -23,13 +26,18 @@
     /// So many of the next starts get no answer and are carried out late.
     int m_LateStarts = 0;
     EventLoop::Duration m_LateBy{1500};
+    double m_Slowness = 1;  ///< Runs take so many times as long.
+    double m_ClockRate = 1; ///< Of its clock against true time.
+    bool m_IsDark = false;  ///< Nothing is answered.
   };
 
   /// An entry of the journal.
   struct Event {
     std::string m_Task;
     std::uint32_t m_Run = 0;
-    std::string m_What; ///< "start" or how the run ended.
+    /// "start", how the run ended, or "acknowledged" once a renewal has
+    /// passed its end.
+    std::string m_What;
     TimePoint m_At;
   };
 
@@ -44,16 +52,28 @@
   std::string registration(const std::string &Service, const std::string &Zone,
                            const std::string &State) const;
 
+  /// Says in registrations where it is reached, if that is another address
+  /// than the one on which it listens.
+  void setPublicAddress(const Address &Where) { m_PublicAddress = Where.str(); }
+
+  /// Ends all runs and forgets everything, as a new life of the executor.
+  void crash();
+
   Behaviour &behaviour() { return m_Behaviour; }
   const std::vector<Event> &journal() const { return m_Journal; }
   std::size_t running() const { return m_Running.size(); }
   std::size_t starts() const;
   std::size_t unacknowledgedEnds() const { return m_Ended.size(); }
+  /// Returns the largest room, in thousandths of a core, taken at one time.
+  std::int64_t mostCpuTaken() const { return m_MostCpuTaken; }
+  static constexpr std::int64_t CpuMillis = 16000;
 
 private:
   struct Running {
     std::uint32_t m_Run = 0;
     TimePoint m_Started;
+    double m_TakesMs = 0;
+    std::int64_t m_CpuMillis = 0;
     EventLoop::Timer m_Timer;
   };
   struct Ended {
@@ -72,13 +92,17 @@
   void answerRenewals();
   nlohmann::json lists() const;
   std::int64_t clock() const;
+  std::int64_t cpuTaken() const;
   void conflict(const HttpExchange &Exchange, const std::string &Why) const;
 
   EventLoop &m_Loop;
   std::string m_Id;
   LoopHttpServer m_Server;
   Behaviour m_Behaviour;
+  std::string m_PublicAddress;
   TimePoint m_Born;
+  std::int64_t m_Life = 1000; ///< Names its life; rises with each.
+  std::int64_t m_MostCpuTaken = 0;
   std::uint64_t m_Token = 0;
   std::map<std::string, Running> m_Running;
   std::map<std::string, std::uint32_t> m_HighestRun; ///< Stopped or ended.
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -30,7 +30,32 @@
 
 FakeStore::FakeStore(EventLoop &Loop)
     : m_Loop(Loop),
-      m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }) {}
+      m_Server(Loop, [this](const HttpExchange &E) { onCall(E, m_Mood); }) {}
+
+absl::StatusOr<std::size_t> FakeStore::addDoor() {
+  std::size_t Number = m_Doors.size();
+  m_Doors.push_back(
+      std::make_unique<Door>(m_Loop, [this, Number](const HttpExchange &E) {
+        Mood Own = m_Doors[Number]->m_Mood;
+        onCall(E, m_Mood == Mood::Serving ? Own : m_Mood);
+      }));
+  absl::Status Bad = m_Doors.back()->m_Server.listen({"127.0.0.1", 0});
+  if (!Bad.ok())
+    return Bad;
+  return Number;
+}
+
+void FakeStore::delayAppends(int Count, EventLoop::Duration By) {
+  m_LateAppends = Count;
+  m_LateBy = By;
+}
+
+void FakeStore::rebalance() {
+  for (auto &[Name, Of] : m_Groups) {
+    Of.m_HeldBy.clear();
+    deal(Of);
+  }
+}
 
 void FakeStore::put(const std::string &Name, const std::string &Key,
                     std::optional<std::string> Value) {
@@ -57,13 +82,13 @@
   return Found->second.m_Newest.at(Key);
 }
 
-void FakeStore::onCall(const HttpExchange &Exchange) {
+void FakeStore::onCall(const HttpExchange &Exchange, Mood Towards) {
   ++m_Calls;
-  if (m_Mood == Mood::Refusing) {
-    Exchange.respond(status(503));
+  if (Towards == Mood::Refusing || Towards == Mood::TooMany) {
+    Exchange.respond(status(Towards == Mood::Refusing ? 503 : 429));
     return;
   }
-  if (m_Mood == Mood::Silent) {
+  if (Towards == Mood::Silent) {
     m_Unanswered.push_back(Exchange);
     return;
   }
@@ -73,7 +98,12 @@
   if (!Part.empty() && Part != "0")
     Name += "/" + Part;
   std::string_view Path = Request.m_Path;
-  if (Path.starts_with("/log-append"))
+  if (Path.starts_with("/log-append") && m_LateAppends > 0) {
+    --m_LateAppends;
+    m_Late.push_back(m_Loop.once(
+        m_LateBy, [this, Exchange, Name] { append(Exchange, Name); }));
+    m_Unanswered.push_back(Exchange);
+  } else if (Path.starts_with("/log-append"))
     append(Exchange, Name);
   else if (Path.starts_with("/log-newest"))
     readNewest(Exchange, Name);
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
   enum class Mood {
     Serving,
     Refusing, ///< 503 to every call.
+    TooMany,  ///< 429 to every call.
     Silent,   ///< No answer to any call.
   };
 
@@ -28,6 +30,15 @@
   Address address() const { return {"127.0.0.1", m_Server.port()}; }
 
   void setMood(Mood Value) { m_Mood = Value; }
+  /// Opens another address, for callers that the store may treat otherwise.
+  /// Returns its number. Fails with Unavailable.
+  absl::StatusOr<std::size_t> addDoor();
+  Address doorAddress(std::size_t Door) const {
+    return {"127.0.0.1", m_Doors[Door]->m_Server.port()};
+  }
+  void setDoorMood(std::size_t Door, Mood Value) {
+    m_Doors[Door]->m_Mood = Value;
+  }
   void put(const std::string &Topic, const std::string &Key,
            std::optional<std::string> Value);
   /// Drops the history; the newest record of each key stays.
@@ -40,6 +51,11 @@
   std::size_t keys(const std::string &Topic, const std::string &Prefix) const;
   /// So many of the next appends are carried out, but not answered.
   void loseAnswers(int Count) { m_LostAnswers = Count; }
+  /// So many of the next appends are not answered, and carried out later if
+  /// their writer's epoch and sequence still allow.
+  void delayAppends(int Count, EventLoop::Duration By);
+  /// Deals all partitions of all groups anew.
+  void rebalance();
 
 private:
   struct Record {
@@ -69,7 +85,14 @@
     EventLoop::Timer m_Timer;
   };
 
-  void onCall(const HttpExchange &Exchange);
+  struct Door {
+    explicit Door(EventLoop &Loop, LoopHttpServer::Handler Handle)
+        : m_Server(Loop, std::move(Handle)) {}
+    LoopHttpServer m_Server;
+    Mood m_Mood = Mood::Serving;
+  };
+
+  void onCall(const HttpExchange &Exchange, Mood Towards);
   void append(const HttpExchange &Exchange, const std::string &Name);
   /// Returns the refusal of a writer, or nothing.
   static std::optional<HttpResponse> refuseWriter(const HttpRequest &Request,
@@ -84,6 +107,7 @@
 
   EventLoop &m_Loop;
   LoopHttpServer m_Server;
+  std::vector<std::unique_ptr<Door>> m_Doors;
   Mood m_Mood = Mood::Serving;
   std::map<std::string, Topic> m_Topics;
   std::map<std::uint64_t, Waiting> m_Waiting;
@@ -91,6 +115,9 @@
   std::vector<HttpExchange> m_Unanswered;
   std::size_t m_Calls = 0;
   int m_LostAnswers = 0;
+  int m_LateAppends = 0;
+  EventLoop::Duration m_LateBy{0};
+  std::vector<EventLoop::Timer> m_Late;
   std::map<std::string, Group> m_Groups;
 };
 
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -227,6 +227,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ServesAnInterfaceOfItsOwn)
+
+struct OwnCalls : ThreeNodes {
+  std::shared_ptr<Reply> own(std::size_t Node, const std::string &Method,
+                             const std::string &Path, std::string Body = "") {
+    return callAt(addresses(Node).m_Interface, Method, Path, std::move(Body));
+  }
+  std::string ownState(std::size_t Node) {
+    auto Answer = own(Node, "GET", "/v1/jobs/" + JobA);
+    until([&] { return Answer->m_Answer.has_value(); });
+    if (!Answer->has(200))
+      return "";
+    return nlohmann::json::parse((*Answer->m_Answer)->m_Body)["state"];
+  }
+
+  const std::string m_Submit = "/v1/queues/certify/jobs/" + JobA;
+  const std::string m_Body =
+      R"({"spec":"x","steps":[{"count":2,"each":{"cpu":100}}]})";
+};
+
+BOOST_FIXTURE_TEST_CASE(ForStoredJobs, OwnCalls) {
+  auto Stored = own(0, "PUT", m_Submit, m_Body);
+  BOOST_TEST(until([&] { return Stored->has(200); }));
+  BOOST_TEST(until([&] { return ownState(1) == "completed"; }));
+  BOOST_TEST(state(2, JobA) == "completed");
+  auto Again = own(2, "PUT", m_Submit, m_Body);
+  BOOST_TEST(until([&] { return Again->has(200); }));
+  BOOST_TEST(startsInAll() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AndCancelsThem, OwnCalls) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_Hangs = true;
+  auto Stored = own(0, "PUT", m_Submit, m_Body);
+  BOOST_REQUIRE(until([&] { return Stored->has(200) && startsInAll() == 2; }));
+  auto Cancel = own(1, "DELETE", "/v1/jobs/" + JobA);
+  BOOST_TEST(until([&] { return Cancel->has(200); }));
+  BOOST_TEST(ownState(2) == "cancelled");
+  BOOST_TEST(until([&] { return runningInAll() == 0; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AndSaysWhatItCannotDo, OwnCalls) {
+  auto Elsewhere = own(0, "PUT", "/v1/queues/none/jobs/" + JobA, m_Body);
+  auto Unknown = own(1, "GET", "/v1/jobs/" + JobB);
+  auto Malformed = own(2, "PUT", m_Submit, "{}");
+  BOOST_TEST(until([&] { return Elsewhere->has(404); }));
+  BOOST_TEST(until([&] { return Unknown->has(404); }));
+  BOOST_TEST(until([&] { return Malformed->has(400); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(CancelsJobs)
 
 BOOST_FIXTURE_TEST_CASE(WhereverTheyRun, ThreeNodes) {
@@ -307,6 +359,45 @@
   BOOST_TEST(servesAgain(3));
 }
 
+BOOST_FIXTURE_TEST_CASE(FromOneNodeOnly, ThreeNodes) {
+  for (auto Mood : {FakeStore::Mood::Refusing, FakeStore::Mood::TooMany,
+                    FakeStore::Mood::Silent}) {
+    store().setDoorMood(storeDoor(1), Mood);
+    auto Reply = submit(1, JobA, 2);
+    BOOST_TEST(until([&] { return Reply->has(200); }));
+    auto Stored = submitStored(1, JobB, 1);
+    BOOST_TEST(until([&] { return Stored->has(200); }));
+    store().setDoorMood(storeDoor(1), FakeStore::Mood::Serving);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AppendsThatAreCarriedOutLateStoreAJobOnce, OneNode) {
+  auto First = submitStored(0, JobB, 1);
+  BOOST_REQUIRE(until([&] { return state(0, JobB) == "completed"; }));
+  store().delayAppends(1, EventLoop::Duration(900));
+  auto Reply = submitStored(0, JobA, 1);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+  BOOST_TEST(until([&] { return state(0, JobA) == "completed"; }));
+  BOOST_TEST(startsInAll() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenItIsPaused)
+
+BOOST_FIXTURE_TEST_CASE(ItsShardIsServedByAnother, ThreeNodes) {
+  for (std::size_t I = 0; I < 4; ++I)
+    executor(I).behaviour().m_RunTime = EventLoop::Duration(300);
+  auto Lost = submit(1, JobA, 2);
+  BOOST_REQUIRE(until([&] { return startsInAll() == 2; }));
+  signal(0, SIGSTOP);
+  BOOST_TEST(servesAgain(1));
+  signal(0, SIGCONT);
+  BOOST_TEST(untilReady());
+  BOOST_TEST(servesAgain(0));
+  BOOST_TEST(!anyOverlap());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(FollowsTheConfiguration)
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -1,12 +1,12 @@
 #include "PlatformCluster.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace auburnhub::platform {
@@ -24,6 +24,11 @@
          std::to_string(1 + Pid % Values) + ".1";
 }
 
+void require(bool Condition, const char *What) {
+  if (!Condition)
+    throw std::runtime_error(What);
+}
+
 nlohmann::json jobBody(int Tasks) {
   return {{"spec", "text"},
           {"steps",
@@ -35,13 +40,14 @@
 
 } // namespace
 
-PlatformCluster::PlatformCluster() : m_Store(m_Loop), m_Client(m_Loop) {
-  BOOST_REQUIRE(m_Store.listen({"127.0.0.1", 0}).ok());
+PlatformCluster::PlatformCluster(const PlatformClusterOptions &Options)
+    : m_Options(Options), m_Store(m_Loop), m_Client(m_Loop) {
+  require(m_Store.listen({"127.0.0.1", 0}).ok(), "the store cannot listen");
   publishConfiguration(1);
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "auburnhub-test-XXXXXX")
           .string();
-  BOOST_REQUIRE(mkdtemp(Pattern.data()) != nullptr);
+  require(mkdtemp(Pattern.data()) != nullptr, "no folder for settings");
   m_Folder = Pattern;
 }
 
@@ -53,9 +59,15 @@
 FakeExecutor &PlatformCluster::addExecutor(const std::string &Zone) {
   std::string Id = "i-" + std::to_string(m_Executors.size());
   m_Executors.push_back(std::make_unique<FakeExecutor>(m_Loop, Id));
-  BOOST_REQUIRE(m_Executors.back()->listen({"127.0.0.1", 0}).ok());
-  registerExecutor(*m_Executors.back(), "ready", Zone);
-  return *m_Executors.back();
+  FakeExecutor &Added = *m_Executors.back();
+  require(Added.listen({"127.0.0.1", 0}).ok(), "an executor cannot listen");
+  if (m_Options.m_UsesProxies) {
+    m_ExecutorProxies.push_back(std::make_unique<FaultyProxy>(m_Loop));
+    m_ExecutorProxies.back()->setTarget(*parseAddress(Added.address()));
+    Added.setPublicAddress(m_ExecutorProxies.back()->address());
+  }
+  registerExecutor(Added, "ready", Zone);
+  return Added;
 }
 
 void PlatformCluster::registerExecutor(const FakeExecutor &Executor,
@@ -83,31 +95,58 @@
   }
 }
 
-std::string PlatformCluster::writeSettings(const std::string &Name,
-                                           const std::string &Zone,
-                                           const NodeAddresses &Where) const {
-  NodeDescription Node{
-      Name, Zone, Where, {}, m_Store.address(), m_StopGraceSeconds};
-  if (!m_Addresses.empty())
-    Node.m_Seeds.push_back(m_Addresses.front().m_Links);
-  std::string Path = m_Folder + "/" + Name + ".yaml";
-  std::ofstream(Path) << settingsFile(Node).dump();
+std::string PlatformCluster::writeSettings(const NodeProcess &Node) const {
+  Address Store =
+      Node.m_Store ? Node.m_Store->address() : m_Store.doorAddress(Node.m_Door);
+  NodeDescription Described{Node.m_Name, Node.m_Zone,      Node.m_Where,
+                            {},          std::move(Store), m_StopGraceSeconds};
+  const NodeProcess &First = m_Nodes.front();
+  if (&First != &Node)
+    Described.m_Seeds.push_back(First.m_Links ? First.m_Links->address()
+                                              : First.m_Where.m_Links);
+  std::string Path = m_Folder + "/" + Node.m_Name + ".yaml";
+  std::ofstream(Path) << settingsFile(Described).dump();
   return Path;
 }
 
 void PlatformCluster::addNode(const std::string &Zone) {
-  std::string Name = "node-" + std::to_string(m_Nodes.size());
-  NodeAddresses Where{freeAddress(), freeAddress(), freeAddress()};
+  NodeProcess &Added = m_Nodes.emplace_back();
+  Added.m_Name = "node-" + std::to_string(m_Nodes.size() - 1);
+  Added.m_Zone = Zone;
+  Added.m_Where = {freeAddress(), freeAddress(), freeAddress(), freeAddress()};
+  auto Door = m_Store.addDoor();
+  require(Door.ok(), "the store has no further address");
+  Added.m_Door = *Door;
+  if (m_Options.m_UsesProxies) {
+    Added.m_Links = std::make_unique<FaultyProxy>(m_Loop);
+    Added.m_Links->setTarget(Added.m_Where.m_Links);
+    Added.m_Store = std::make_unique<FaultyProxy>(m_Loop);
+    Added.m_Store->setTarget(m_Store.doorAddress(*Door));
+  }
+  start(Added);
+}
+
+void PlatformCluster::start(NodeProcess &Node) {
   std::vector<std::string> Arguments = {
-      "--settings", writeSettings(Name, Zone, Where), "--charts",
-      AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts"};
-  m_Addresses.push_back(Where);
+      "--settings",       writeSettings(Node),
+      "--charts",         AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts",
+      "--interface-port", std::to_string(Node.m_Where.m_Interface.m_Port)};
+  if (Node.m_Links) {
+    Arguments.emplace_back("--advertise");
+    Arguments.push_back(Node.m_Links->address().str());
+  }
+  std::string LogPath =
+      m_Options.m_LogFolder.empty()
+          ? ""
+          : m_Options.m_LogFolder + "/" + Node.m_Name + ".log";
   auto Started = test::ProcessRunner::start(
-      AUBURNHUB_BINARY_DIR "/auburnhub-node", Arguments);
-  BOOST_REQUIRE(Started.ok());
-  m_Nodes.push_back(*std::move(Started));
+      AUBURNHUB_BINARY_DIR "/auburnhub-node", Arguments, LogPath);
+  require(Started.ok(), "a node cannot be started");
+  Node.m_Process = *std::move(Started);
 }
 
+void PlatformCluster::restartNode(std::size_t Index) { start(m_Nodes[Index]); }
+
 nlohmann::json PlatformCluster::loggedOf(std::size_t Index,
                                          const std::string &Job,
                                          const std::string &Event,
@@ -149,7 +188,7 @@
   auto Answer = std::make_shared<Reply>();
   HttpRequest Request;
   Request.m_Path = "/readiness";
-  m_Client.call(m_Addresses[Node].m_Readiness, Request,
+  m_Client.call(m_Nodes[Node].m_Where.m_Readiness, Request,
                 std::chrono::milliseconds(1000),
                 [Answer](absl::StatusOr<HttpResponse> Response) {
                   Answer->m_Answer = std::move(Response);
@@ -162,6 +201,14 @@
 PlatformCluster::call(std::size_t Node, const std::string &Method,
                       const std::string &Path, std::string Body,
                       int DeadlineMs) {
+  return callAt(m_Nodes[Node].m_Where.m_Callers, Method, Path, std::move(Body),
+                DeadlineMs);
+}
+
+std::shared_ptr<PlatformCluster::Reply>
+PlatformCluster::callAt(const Address &To, const std::string &Method,
+                        const std::string &Path, std::string Body,
+                        int DeadlineMs) {
   auto Answer = std::make_shared<Reply>();
   HttpRequest Request;
   Request.m_Method = Method;
@@ -169,8 +216,7 @@
   Request.m_Headers.set("Host", Host);
   Request.m_Headers.set("X-Deadline-Ms", std::to_string(DeadlineMs));
   Request.m_Body = std::move(Body);
-  m_Client.call(m_Addresses[Node].m_Callers, Request,
-                std::chrono::milliseconds(DeadlineMs),
+  m_Client.call(To, Request, std::chrono::milliseconds(DeadlineMs),
                 [Answer](absl::StatusOr<HttpResponse> Response) {
                   Answer->m_Answer = std::move(Response);
                 });
@@ -224,6 +270,8 @@
   std::map<std::string, int> Alive;
   bool Overlap = false;
   for (const auto &[At, Event] : All) {
+    if (Event.m_What == "acknowledged")
+      continue;
     int &Count = Alive[Event.m_Task];
     Count += Event.m_What == "start" ? 1 : -1;
     Overlap = Overlap || Count > 1;
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -3,6 +3,7 @@
 
 #include "FakeExecutor.h"
 #include "FakeStore.h"
+#include "FaultyProxy.h"
 #include "StandInRecords.h"
 #include "StoreClient.h"
 
@@ -17,26 +18,58 @@
 
 namespace auburnhub::platform {
 
+/// How the parts of a cluster are connected.
+struct PlatformClusterOptions {
+  /// Executors, the store and the links of each node are reached through
+  /// proxies, which can harm the connections.
+  bool m_UsesProxies = false;
+  std::string
+      m_LogFolder; ///< Nodes' logs are also written there, unless empty.
+};
+
 /// Stand-ins of executors and of a store on one event loop, and nodes as
-/// processes of their own, all on loopback.
+/// processes of their own, all on loopback. What cannot be set up throws
+/// std::runtime_error.
 class PlatformCluster {
 public:
   static constexpr const char *Service = "tile-orders";
   static constexpr const char *Host = "jobs.example";
   static constexpr const char *Prefix = "/certify/";
 
-  PlatformCluster();
+  explicit PlatformCluster(const PlatformClusterOptions &Options = {});
   ~PlatformCluster();
+  PlatformCluster(const PlatformCluster &) = delete;
+  PlatformCluster &operator=(const PlatformCluster &) = delete;
 
   FakeExecutor &addExecutor(const std::string &Zone = "a");
   void addNode(const std::string &Zone = "a");
+  /// Starts a node again that has ended, on the same addresses.
+  void restartNode(std::size_t Index);
+  std::size_t nodes() const { return m_Nodes.size(); }
+  std::size_t executors() const { return m_Executors.size(); }
   /// Sends a signal to a node's process.
-  void signal(std::size_t Index, int Number) { m_Nodes[Index]->signal(Number); }
-  bool running(std::size_t Index) const { return m_Nodes[Index]->running(); }
-  /// Returns what a node has logged.
+  void signal(std::size_t Index, int Number) {
+    m_Nodes[Index].m_Process->signal(Number);
+  }
+  bool running(std::size_t Index) const {
+    return m_Nodes[Index].m_Process->running();
+  }
+  /// Returns what a node has logged since it was started last.
   std::vector<std::string> log(std::size_t Index) const {
-    return m_Nodes[Index]->lines();
+    return m_Nodes[Index].m_Process->lines();
   }
+  const NodeAddresses &addresses(std::size_t Index) const {
+    return m_Nodes[Index].m_Where;
+  }
+
+  // With proxies only.
+  FaultyProxy &linkProxy(std::size_t Node) { return *m_Nodes[Node].m_Links; }
+  FaultyProxy &storeProxy(std::size_t Node) { return *m_Nodes[Node].m_Store; }
+  FaultyProxy &executorProxy(std::size_t Executor) {
+    return *m_ExecutorProxies[Executor];
+  }
+  /// Returns the store's door that only this node uses.
+  std::size_t storeDoor(std::size_t Node) const { return m_Nodes[Node].m_Door; }
 
   /// Waits until a node has logged an event of a job, and returns a field of
   /// it. An empty job stands for any.
@@ -64,6 +97,9 @@
   std::shared_ptr<Reply> call(std::size_t Node, const std::string &Method,
                               const std::string &Path, std::string Body = "",
                               int DeadlineMs = 5000);
+  std::shared_ptr<Reply> callAt(const Address &To, const std::string &Method,
+                                const std::string &Path, std::string Body = "",
+                                int DeadlineMs = 5000);
   /// Hands in a job of some tasks.
   std::shared_ptr<Reply> submit(std::size_t Node, const std::string &Id,
                                 int Tasks, int DeadlineMs = 5000);
@@ -78,6 +114,9 @@
   EventLoop &loop() { return m_Loop; }
   FakeStore &store() { return m_Store; }
   FakeExecutor &executor(std::size_t Index) { return *m_Executors[Index]; }
+  const FakeExecutor &executor(std::size_t Index) const {
+    return *m_Executors[Index];
+  }
   std::size_t startsInAll() const;
   std::size_t runningInAll() const;
   /// Tells whether two runs of one task overlapped on any executors.
@@ -87,17 +126,28 @@
   int m_StopGraceSeconds = 6;
 
 private:
+  struct NodeProcess {
+    std::string m_Name;
+    std::string m_Zone;
+    NodeAddresses m_Where;
+    std::size_t m_Door = 0;
+    std::unique_ptr<FaultyProxy> m_Links;
+    std::unique_ptr<FaultyProxy> m_Store;
+    std::unique_ptr<test::ProcessRunner> m_Process;
+  };
+
+  /// Returns an address that no other node of the cluster was given.
+  Address freeAddress();
+  std::string writeSettings(const NodeProcess &Node) const;
+  void start(NodeProcess &Node);
+
+  PlatformClusterOptions m_Options;
   EventLoop m_Loop;
   FakeStore m_Store;
   LoopHttpClient m_Client;
   std::vector<std::unique_ptr<FakeExecutor>> m_Executors;
-  /// Returns an address that no other node of the cluster was given.
-  Address freeAddress();
-  std::string writeSettings(const std::string &Name, const std::string &Zone,
-                            const NodeAddresses &Where) const;
-
-  std::vector<std::unique_ptr<test::ProcessRunner>> m_Nodes;
-  std::vector<NodeAddresses> m_Addresses;
+  std::vector<std::unique_ptr<FaultyProxy>> m_ExecutorProxies;
+  std::vector<NodeProcess> m_Nodes;
   std::set<std::uint16_t> m_Ports; ///< Given to nodes.
   std::string m_Folder;            ///< Of the nodes' settings.
 };
--- a/Tests/Platform/StandInRecords.h
+++ b/Tests/Platform/StandInRecords.h
@@ -19,6 +19,7 @@
   Address m_Callers;
   Address m_Readiness;
   Address m_Links;
+  Address m_Interface{}; ///< The product's own interface for jobs.
 };
 
 struct NodeDescription {
--- a/include/auburnhub/Ctl/Command.h
+++ b/include/auburnhub/Ctl/Command.h
@@ -19,11 +19,11 @@
   Success = 0,
   Different = 1,   ///< `config diff` found differences.
   Usage = 2,       ///< Wrong command line.
-  Invalid = 3,     ///< A file is not valid, or the change was refused.
+  Invalid = 3,     ///< A file is not valid, or the change or job was refused.
   Unreachable = 4, ///< The platform or a process could not be reached.
   Conflict = 5,    ///< Another change was accepted first.
-  UnknownFate = 6, ///< Whether the change was accepted is not known.
-  NotFound = 7,    ///< There is no such record or submission.
+  UnknownFate = 6, ///< Whether the change or job was accepted is not known.
+  NotFound = 7,    ///< There is no such record, submission or job.
 };
 
 /// Where a command reads and writes.
--- a/include/auburnhub/Ctl/DecisionLine.h
+++ b/include/auburnhub/Ctl/DecisionLine.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <istream>
 #include <optional>
 #include <string>
@@ -29,12 +30,14 @@
   std::optional<int> task() const;
 };
 
-/// The log lines of one submission.
+/// The log lines of one submission or of one job of a node.
 class DecisionLog {
 public:
-  explicit DecisionLog(SubmissionId Id) : m_Id(Id) {}
+  explicit DecisionLog(SubmissionId Id);
+  /// Job is the id of a job that nodes run or store.
+  explicit DecisionLog(std::string Job);
 
-  /// Adds the lines of a log that name the submission; skips all others.
+  /// Adds the lines of a log that name the submission or job; skips all others.
   void read(std::istream &Input);
 
   /// Returns the lines by time; lines of equal time keep the order in which
@@ -47,7 +50,7 @@
 private:
   void addLine(const std::string &Text);
 
-  SubmissionId m_Id;
+  std::function<bool(const DecisionLine &)> m_Concerns;
   std::vector<DecisionLine> m_Lines;
   std::size_t m_MalformedLines = 0;
 };
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -1,7 +1,10 @@
 #ifndef AUBURNHUB_JOBS_JOB_H
 #define AUBURNHUB_JOBS_JOB_H
 
+#include "absl/status/status.h"
+
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -92,6 +95,10 @@
   }
 };
 
+/// Checks that steps come after the steps they wait for, and that there are 1
+/// to 1,000 tasks in all. Fails with BadRequest.
+absl::Status checkSteps(std::span<const JobStep> Steps);
+
 /// What became of a job.
 enum class JobOutcome {
   Completed = 0, ///< Every task ended well.
@@ -114,6 +121,7 @@
   OwnerLost = 6,     ///< The node that ran it is gone.
   NoOwner = 7,       ///< No node takes jobs of the service now.
   Stopping = 8,      ///< The node is shutting down.
+  NotStored = 9,     ///< The log is out of reach, or its answer is missing.
 };
 
 /// Returns the lower-case name with underscores, e.g. "no_room".
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -28,8 +28,9 @@
 struct NodeSettings {
   std::string m_Name;
   std::string m_DataCentre;
-  Address m_LinkAddress;
-  double m_Weight = 1; ///< Its share of a core.
+  Address m_LinkAddress;       ///< Where the node listens for links.
+  Address m_AdvertisedAddress; ///< Where peers reach it.
+  double m_Weight = 1;         ///< Its share of a core.
   WorkerSessionSettings m_Session;
   JobParameters m_Jobs;
   std::uint32_t m_LedgerParts = 1; ///< Partitions of the stored jobs.
@@ -106,6 +107,8 @@
   void giveUpAll();
   /// Returns whether nothing is left that a stop would cut.
   bool drained() const;
+  /// Returns what the node holds and sees, for its status page.
+  nlohmann::json describe() const;
   /// Returns whether callers' jobs can be served.
   bool canServe() const { return m_Router.hasOwner(); }
 
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -85,7 +85,7 @@
           Loop,
           NodeHello{m_Settings.m_Name,
                     m_Settings.m_DataCentre,
-                    m_Settings.m_LinkAddress.str(),
+                    m_Settings.m_AdvertisedAddress.str(),
                     static_cast<std::uint64_t>(EventLoop::wallMilliseconds()),
                     m_Settings.m_Weight,
                     {}},
@@ -409,6 +409,28 @@
          m_Keeper.isDrained();
 }
 
+template <WorkerTransport Transport, JobLog Log>
+nlohmann::json Node<Transport, Log>::describe() const {
+  nlohmann::json Shards = nlohmann::json::array();
+  for (const ShardClaim &Claim : m_Shards.ownClaims())
+    Shards.push_back({{"shard", Claim.m_Shard.str()},
+                      {"token", Claim.m_Token},
+                      {"releasing", Claim.m_Releasing}});
+  nlohmann::json Parts = nlohmann::json::array();
+  for (const LedgerStatus &Kept : m_Keeper.statuses())
+    Parts.push_back(
+        {{"part", Kept.m_Claim.m_Part}, {"epoch", Kept.m_Claim.m_Epoch}});
+  return {{"members", m_Links.linksUp() + 1},
+          {"workers", m_Workers.size()},
+          {"shards", std::move(Shards)},
+          {"kept_partitions", std::move(Parts)},
+          {"free_slots", m_Host.freeSlots()},
+          {"waiting_tasks", m_Host.waitingTasks()},
+          {"jobs", m_Host.jobs()},
+          {"waiting_calls", m_Router.calls()},
+          {"draining", m_Draining}};
+}
+
 } // namespace auburnhub
 
 #endif
--- a/include/auburnhub/Node/QueueTable.h
+++ b/include/auburnhub/Node/QueueTable.h
@@ -28,6 +28,8 @@
   /// Returns the queue of this host whose prefix is the longest that the path
   /// begins with; null if there is none.
   const QueueEntry *find(std::string_view Host, std::string_view Path) const;
+  /// Returns the queue of this name; null if there is none.
+  const QueueEntry *named(std::string_view Queue) const;
 };
 
 } // namespace auburnhub
