Node: Call no stored job unknown before jobs are known to be stored

Change: whether jobs are stored is knowledge of its own, told by the directory, by peers (also to a node that stops) and by keepers. Until it is known such a question is refused with a time to come back.

Tests: CallsNoneUnknownBeforeItKnowsWhetherJobsAreStored is new (before, the node had no word for 'not known yet'), as is AndANodeThatStopsKnowsThemToo.

--- a/Tests/Node/JobServiceTest.cpp
+++ b/Tests/Node/JobServiceTest.cpp
@@ -21,7 +21,7 @@
     Done(m_KnowsJob);
   }
   bool knows(const std::string &) const { return m_KnowsJob; }
-  bool storesJobs() const { return m_StoresJobs; }
+  std::optional<bool> storesJobs() const { return m_StoresJobs; }
   void call(LedgerCallKind Kind, const std::string &, JobRequest, double,
             LedgerCalls::Done Done) {
     m_LedgerCalls.push_back(Kind);
@@ -30,7 +30,7 @@
   std::uint64_t pending(const std::string &) const { return 3; }
 
   bool m_KnowsJob = false;
-  bool m_StoresJobs = false;
+  std::optional<bool> m_StoresJobs = false;
   std::vector<JobRequest> m_Submitted;
   std::vector<LedgerCallKind> m_LedgerCalls;
   JobRouter::Done m_Ended;
@@ -146,6 +146,15 @@
   BOOST_TEST(m_Node.m_LedgerCalls.empty());
 }
 
+BOOST_AUTO_TEST_CASE(CallsNoneUnknownBeforeItKnowsWhetherJobsAreStored) {
+  m_Node.m_StoresJobs.reset();
+  m_Service.state("a", 100, keep());
+  checkReply(JobReplyKind::Refused, JobReason::NotStored);
+  m_Service.cancel("a", 100, keep());
+  checkReply(JobReplyKind::Refused, JobReason::NotStored);
+  BOOST_TEST(m_Reply->m_RetryAfterMs > 0);
+}
+
 BOOST_AUTO_TEST_CASE(AsksItsKeeperIfJobsAreStored) {
   m_Service.state("a", 100, keep());
   checkReply(JobReplyKind::NoSuchJob);
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -57,6 +57,22 @@
   return Total;
 }
 
+void FakeExecutor::resume() {
+  m_Behaviour.m_Hangs = false;
+  for (auto &[Task, Item] : m_Running) {
+    if (Item.m_Timer)
+      continue;
+    Item.m_Started = EventLoop::now();
+    endLater(Task, Item);
+  }
+}
+
+void FakeExecutor::endLater(const std::string &Task, Running &Item) {
+  Item.m_Timer = m_Loop.once(
+      EventLoop::Duration(static_cast<int>(Item.m_TakesMs)),
+      [this, Task] { end(Task, m_Behaviour.m_Fails ? "failed" : "done"); });
+}
+
 void FakeExecutor::crash() {
   TimePoint Now = EventLoop::now();
   for (const auto &[Task, Item] : std::exchange(m_Running, {}))
@@ -169,9 +185,7 @@
   m_MostCpuTaken = std::max(m_MostCpuTaken, cpuTaken());
   m_Journal.push_back({Task, Run, "start", EventLoop::now()});
   if (!m_Behaviour.m_Hangs)
-    Added.m_Timer = m_Loop.once(
-        EventLoop::Duration(static_cast<int>(Added.m_TakesMs)),
-        [this, Task] { end(Task, m_Behaviour.m_Fails ? "failed" : "done"); });
+    endLater(Task, Added);
   extendLease(Body);
   Exchange.respond(jsonResponse(200, {{"clock_ms", clock()}}));
 }
@@ -206,7 +220,7 @@
     double Share = millisecondsBetween(Item.m_Started, Now) /
                    std::max(1.0, Item.m_TakesMs);
     int Percent =
-        m_Behaviour.m_Hangs ? 0 : static_cast<int>(std::min(99.0, 100 * Share));
+        Item.m_Timer ? static_cast<int>(std::min(99.0, 100 * Share)) : 0;
     Running.push_back({Task, Item.m_Run, "", Percent});
   }
   nlohmann::json Finished = nlohmann::json::array();
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -59,6 +59,9 @@
   /// Ends all runs and forgets everything, as a new life of the executor.
   void crash();
 
+  /// Lets what has stood still go on.
+  void resume();
+
   Behaviour &behaviour() { return m_Behaviour; }
   const std::vector<Event> &journal() const { return m_Journal; }
   std::size_t running() const { return m_Running.size(); }
@@ -88,6 +91,7 @@
   void onStop(const HttpExchange &Exchange, const nlohmann::json &Body);
   void onRenew(const HttpExchange &Exchange, const nlohmann::json &Body);
   void end(const std::string &Task, const std::string &How);
+  void endLater(const std::string &Task, Running &Item);
   void extendLease(const nlohmann::json &Body);
   void answerRenewals();
   nlohmann::json lists() const;
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -211,6 +211,16 @@
   BOOST_TEST(until([&] { return runningInAll() == 0; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(AndANodeThatStopsKnowsThemToo, ThreeNodes) {
+  signal(0, SIGTERM);
+  BOOST_REQUIRE(until([&] { return !isReady(0); }));
+  // The first job that is stored at all.
+  auto Reply = submitStored(1, JobA, 1);
+  BOOST_REQUIRE(until([&] { return Reply->has(200); }));
+  BOOST_REQUIRE(until([&] { return state(2, JobA) == "completed"; }));
+  BOOST_TEST(state(0, JobA) == "completed");
+}
+
 BOOST_FIXTURE_TEST_CASE(AndTellsHowManyWait, OneNode) {
   executor(0).behaviour().m_Hangs = true;
   executor(1).behaviour().m_Hangs = true;
--- a/include/auburnhub/Node/JobService.h
+++ b/include/auburnhub/Node/JobService.h
@@ -26,7 +26,7 @@
   Node.callerGone(Call);
   Node.cancel(Id, Cancelled);
   { Node.knows(Id) } -> std::same_as<bool>;
-  { Node.storesJobs() } -> std::same_as<bool>;
+  { Node.storesJobs() } -> std::same_as<std::optional<bool>>;
   Node.call(LedgerCallKind::State, Id, Job, 0.0, Told);
   { Node.pending(Id) } -> std::same_as<std::uint64_t>;
 };
@@ -65,10 +65,14 @@
 private:
   /// Share by which a job may take longer than its caller has guessed.
   static constexpr double EstimateMargin = 1.5;
-  /// When a caller that a stopping node refuses may ask another one.
+  /// When a caller may ask again that a node has refused because it stops, or
+  /// has just started.
   static constexpr double RetryAfterMs = 1000;
 
   bool endsBeforeStop(const JobRequest &Job) const;
+  /// For a job that does not run here as one that is not stored.
+  void askKeeper(LedgerCallKind Kind, const std::string &Job, double TimeLeftMs,
+                 Done Answer);
   void callLedger(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
                   double TimeLeftMs, Done Answer);
 
@@ -110,12 +114,12 @@
                                   Done Answer) {
   m_Node.cancel(
       Job, [this, Job, TimeLeftMs, Answer = std::move(Answer)](bool Known) {
-        if (!Known && m_Node.storesJobs()) {
-          callLedger(LedgerCallKind::Cancel, Job, {}, TimeLeftMs, Answer);
+        if (!Known) {
+          askKeeper(LedgerCallKind::Cancel, Job, TimeLeftMs, Answer);
           return;
         }
         JobReply Reply;
-        Reply.m_Kind = Known ? JobReplyKind::Done : JobReplyKind::NoSuchJob;
+        Reply.m_Kind = JobReplyKind::Done;
         Reply.m_State = StoredJobState::Cancelled;
         Answer(Reply);
       });
@@ -124,17 +128,33 @@
 template <JobNode NodeType>
 void JobService<NodeType>::state(const std::string &Job, double TimeLeftMs,
                                  Done Answer) {
-  bool RunsHere = m_Node.knows(Job);
-  if (!RunsHere && m_Node.storesJobs()) {
-    callLedger(LedgerCallKind::State, Job, {}, TimeLeftMs, std::move(Answer));
+  if (!m_Node.knows(Job)) {
+    askKeeper(LedgerCallKind::State, Job, TimeLeftMs, std::move(Answer));
     return;
   }
   JobReply Reply;
-  Reply.m_Kind = RunsHere ? JobReplyKind::Done : JobReplyKind::NoSuchJob;
+  Reply.m_Kind = JobReplyKind::Done;
   Reply.m_State = StoredJobState::Running;
   Answer(Reply);
 }
 
+template <JobNode NodeType>
+void JobService<NodeType>::askKeeper(LedgerCallKind Kind,
+                                     const std::string &Job, double TimeLeftMs,
+                                     Done Answer) {
+  std::optional<bool> AreStored = m_Node.storesJobs();
+  if (AreStored && *AreStored) {
+    callLedger(Kind, Job, {}, TimeLeftMs, std::move(Answer));
+    return;
+  }
+  // A node that has just started must not call a job unknown that is stored.
+  JobReply Reply;
+  Reply.m_Kind = AreStored ? JobReplyKind::NoSuchJob : JobReplyKind::Refused;
+  Reply.m_Reason = AreStored ? JobReason::None : JobReason::NotStored;
+  Reply.m_RetryAfterMs = AreStored ? 0 : RetryAfterMs;
+  Answer(Reply);
+}
+
 template <JobNode NodeType>
 void JobService<NodeType>::callLedger(LedgerCallKind Kind,
                                       const std::string &Id, JobRequest Job,
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -90,7 +90,10 @@
   // Stored jobs.
   /// Says whether the log has stored jobs, once that was read.
   void jobsAreStored(bool Value);
-  bool storesJobs() const { return m_Keeper.isActive(); }
+  /// Returns whether jobs are stored; nothing while that is not known yet.
+  std::optional<bool> storesJobs() const {
+    return m_StoredRuns.jobsAreStored();
+  }
   /// Stores a job, cancels it or asks for its state.
   void call(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
             double TimeLeftMs, LedgerCalls::Done Done);
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -172,7 +172,7 @@
   Result.m_FreeSlots = m_Host.freeSlots();
   Result.m_WaitingTasks = m_Host.waitingTasks();
   Result.m_Documents = m_Documents.versions();
-  Result.m_StoresJobs = m_Keeper.isActive();
+  Result.m_StoresJobs = m_StoredRuns.jobsAreStored().value_or(false);
   Result.m_Ledgers = m_Keeper.statuses();
   return Result;
 }
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -135,7 +135,7 @@
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onLedgerStatus(const std::string &From,
                                           const NodeStatus &Status) {
-  if (Status.m_StoresJobs && !m_Draining)
+  if (Status.m_StoresJobs)
     jobsAreStored(true);
   m_LedgerCalls.keeps(From, Status.m_Ledgers);
 }
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -54,6 +54,7 @@
   /// Says whether the system stores jobs at all. While that is not known, ends
   /// are kept.
   void setJobsAreStored(bool Value);
+  std::optional<bool> jobsAreStored() const { return m_JobsAreStored; }
 
   std::size_t runs() const { return m_Runs.size(); }
 
