Jobs: Take a run whose progress stands still for stalled

Change: a run also counts as stalled if its progress has not risen for its expected time, at least 150 ms.

Test: StopsOneThatStandsStillHalfway, which cannot pass before.

--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -45,6 +45,7 @@
     return;
   Found->second.m_Accepted = true;
   Found->second.m_Started = Now;
+  Found->second.m_RoseAt = Now;
 }
 
 void JobScheduler::runRefused(TimePoint Now, RunId Id, RefusalReason Why) {
@@ -170,8 +171,26 @@
   auto Found = m_Runs.find(Id);
   if (Found == m_Runs.end())
     return;
-  Found->second.m_Percent = Percent;
-  Found->second.m_ProgressAt = Now;
+  Run &Item = Found->second;
+  if (Percent > Item.m_Percent)
+    Item.m_RoseAt = Now;
+  Item.m_Percent = Percent;
+  Item.m_ProgressAt = Now;
+}
+
+bool JobScheduler::isStalled(const Run &Item) const {
+  double Least = m_Parameters.m_MinStalledMs;
+  double Limit =
+      std::max(Least, m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
+  double StillLimit =
+      std::max(Least, m_Parameters.m_StandstillFactor * Item.m_ExpectedMs);
+  // The progress must have been read after the limit.
+  bool IsSlow =
+      millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
+      Item.m_Percent < m_Parameters.m_StalledPercent;
+  bool StandsStill =
+      millisecondsBetween(Item.m_RoseAt, Item.m_ProgressAt) >= StillLimit;
+  return IsSlow || StandsStill;
 }
 
 void JobScheduler::checkStalled(TimePoint Now) {
@@ -179,11 +198,7 @@
   for (auto &[Id, Item] : m_Runs) {
     if (!Item.m_Accepted || Item.m_Stopping || Item.m_Stalled)
       continue;
-    double Limit = std::max(m_Parameters.m_MinStalledMs,
-                            m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
-    // The progress must have been read after the limit.
-    if (millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
-        Item.m_Percent < m_Parameters.m_StalledPercent)
+    if (isStalled(Item))
       Stalled.push_back(Id);
   }
   for (RunId Id : Stalled) {
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -171,6 +171,24 @@
   BOOST_TEST(m_Starts[1].m_Worker != m_Starts[0].m_Worker);
 }
 
+BOOST_AUTO_TEST_CASE(StopsOneThatStandsStillHalfway) {
+  addWorker("w1");
+  addWorker("w2");
+  submit(job("a", 1));
+  RunId Run = m_Starts[0].m_Run;
+  accept(Run);
+  for (int I = 0; I < 4; ++I) {
+    m_Scheduler.runProgress(m_Now, Run, 10.0 * I);
+    pass(60);
+  }
+  BOOST_TEST(m_Stops.empty());
+  for (int I = 0; I < 4; ++I) {
+    m_Scheduler.runProgress(m_Now, Run, 30);
+    pass(60);
+  }
+  BOOST_TEST(m_Stops.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(LeavesALongOneThatMakesProgress) {
   addWorker("w1");
   submit(job("a", 1));
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -22,6 +22,9 @@
   /// A run that has used this many times its expected time and has made less
   /// progress than m_StalledPercent counts as stalled.
   double m_StalledFactor = 3;
+  /// So does one whose progress has not risen for this many times its expected
+  /// time: even a worker ten times slower shows ten percent more by then.
+  double m_StandstillFactor = 1;
   double m_MinStalledMs = 150; ///< Shorter runs are not judged.
   double m_StalledPercent = 8;
   /// Weight of one run in a worker's learned speed, once it has had enough.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -167,6 +167,7 @@
     TimePoint m_Started;
     double m_Percent = 0;
     TimePoint m_ProgressAt;
+    TimePoint m_RoseAt; ///< When its progress was last seen to rise.
     bool m_Accepted = false;
     bool m_Stopping = false;
     bool m_Detached = false; ///< Its task does not wait for it any more.
@@ -196,6 +197,7 @@
                               const std::string &Worker) const;
   std::unique_ptr<Job> makeJob(TimePoint Now, JobRequest Request) const;
   void stopRun(Run &Item, RunId Id, JobReason Why);
+  bool isStalled(const Run &Item) const;
   void checkStalled(TimePoint Now);
   void checkDeadlines(TimePoint Now);
   void freeRun(RunId Id);
