--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -1,5 +1,7 @@
 #include "PlatformCluster.h"
 
+#include "StoreWatch.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <algorithm>
@@ -83,6 +85,11 @@
               configurationRecord(Version, Host, PathPrefix, Service).dump());
 }
 
+void PlatformCluster::dropHistory() {
+  for (const char *Topic : {"keyed.op", "keyed.servers", DirectoryTopic})
+    m_Store.trim(Topic);
+}
+
 Address PlatformCluster::freeAddress() {
   using boost::asio::ip::tcp;
   tcp::endpoint Any(boost::asio::ip::make_address(ownHost()), 0);
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -78,6 +78,8 @@
 
   void publishConfiguration(std::uint64_t Version,
                             const std::string &PathPrefix = Prefix);
+  /// Drops the history of all that is followed; the newest records stay.
+  void dropHistory();
   void registerExecutor(const FakeExecutor &Executor,
                         const std::string &State = "ready",
                         const std::string &Zone = "a");
