Http: Refuse a header value with a control character

RFC 9110 (5.5) forbids it and other control characters.

Change: such a request gets 400, and its connection lives.

--- a/Source/Http/HttpConnection.cpp
+++ b/Source/Http/HttpConnection.cpp
@@ -13,7 +13,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
+#include <string_view>
 
 namespace auburnhub {
 namespace {
@@ -73,6 +75,13 @@
   return Length;
 }
 
+/// Tells whether a field value has a character that RFC 9110 forbids (5.5).
+bool hasControlCharacter(std::string_view Value) {
+  return std::any_of(Value.begin(), Value.end(), [](unsigned char C) {
+    return std::iscntrl(C) != 0 && C != '\t';
+  });
+}
+
 bool timedOut(const net::HTTPServerSession &Session) {
   return dynamic_cast<const Poco::TimeoutException *>(
              Session.networkException()) != nullptr;
@@ -203,6 +212,9 @@
   IsReusable = Received.m_IsReusable;
   if (!Received.m_Status.ok())
     return refuse(Received.m_Status, MayHaveId);
+  for (const auto &[Name, Value] : Head)
+    if (hasControlCharacter(Value))
+      return refuse(badRequest("a header has a control character"), MayHaveId);
   HttpRequest Request;
   Request.m_Method = Head.getMethod();
   Request.m_Path = Head.getURI();
--- a/Tests/Entry/BadInputTest.cpp
+++ b/Tests/Entry/BadInputTest.cpp
@@ -92,6 +92,15 @@
 
 BOOST_FIXTURE_TEST_SUITE(IsRefusedOnALivingConnection, Fixture)
 
+BOOST_AUTO_TEST_CASE(WhenAHeaderHasAControlCharacter) {
+  for (const std::string &Value :
+       {std::string("a\0b", 3), std::string("a\x01"), std::string("\x7f")}) {
+    write(post(Jobs, jobOf(1), Team + "X-Note: " + Value + "\r\n"));
+    BOOST_TEST(expect(400, "bad-request") == "not_run");
+  }
+  expectConnectionLives();
+}
+
 BOOST_AUTO_TEST_CASE(WhenABodyIsNotAJob) {
   for (const std::string &Body :
        {std::string("{"), std::string("[]"), std::string("{}"),
