Dispatch, Entry: Split what had grown

What a dispatcher does about claims, and about calls under others' ids, have files of their own, as has what an entry's links bring. No change of behaviour; the code was moved.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t MaxRememberedResultBytes = std::size_t{64} << 20;
-constexpr int MaxHops = 2;
 constexpr int MaxTicketsPerCall = 10000;
 constexpr std::int64_t DrainRetryAfterMs = 1000;
 /// How long attempts in progress, which end by the caller's timeout, may be
@@ -237,128 +236,6 @@
   run(addSubmission(From, Msg, Msg.m_Id, Digest));
 }
 
-void Dispatcher::submitCallerId(PeerId From, const Submit &Msg,
-                                const std::string &Digest) {
-  absl::Status Checked = checkCallerId(Msg.m_Id);
-  if (!Checked.ok()) {
-    refuse(From, Msg, failureCode(Checked), failureDetail(Checked));
-    return;
-  }
-  Submission &Added = addSubmission(From, Msg, Msg.m_Id, Digest);
-  Added.m_Claiming = true;
-  ClaimRequest Claim;
-  Claim.m_Call = ++m_LastCall;
-  Claim.m_Id = Msg.m_Id;
-  Claim.m_Team = Msg.m_Team;
-  Claim.m_Digest = Digest;
-  Claim.m_Incarnation = m_Self;
-  if (m_Links.m_Claim(Claim))
-    return;
-  ClaimReply Failed;
-  Failed.m_Id = Msg.m_Id;
-  Failed.m_Failure = failureName(FailureCode::PlatformUnavailable);
-  Failed.m_Detail = "the control process of this VM is not connected";
-  onClaimFailed(Added, Failed);
-}
-
-void Dispatcher::onClaimReply(const ClaimReply &Msg) {
-  Submission *Claimer = m_Submissions.find(Msg.m_Id);
-  if (!Claimer || !Claimer->m_Claiming)
-    return;
-  std::vector<DeferredSubmit> Deferred = std::move(Claimer->m_Deferred);
-  Claimer->m_Deferred.clear();
-  if (!Msg.m_Failure.empty()) {
-    onClaimFailed(*Claimer, Msg);
-    for (const DeferredSubmit &Item : Deferred)
-      refuse(Item.m_From, Item.m_Message,
-             failureFromName(Msg.m_Failure).value_or(FailureCode::Internal),
-             Msg.m_Detail);
-    return;
-  }
-  if (Msg.m_Winner != m_Self)
-    onClaimLost(*Claimer, Msg);
-  else
-    onClaimWon(*Claimer);
-  resubmit(std::move(Deferred));
-}
-
-void Dispatcher::onClaimWon(Submission &Owned) {
-  m_ClaimsWon.add();
-  m_Log.info("claim_won", {{"submission", Owned.m_Id.str()}});
-  Owned.m_Claiming = false;
-  if (!Owned.isOver())
-    run(Owned);
-}
-
-void Dispatcher::resubmit(std::vector<DeferredSubmit> Deferred) {
-  MonotonicTime Now = TimerService::now();
-  for (DeferredSubmit &Item : Deferred) {
-    auto Waited =
-        std::chrono::duration_cast<Milliseconds>(Now - Item.m_ArrivedAt);
-    std::int64_t Left = Item.m_Message.m_TimeoutMs - Waited.count();
-    Item.m_Message.m_TimeoutMs = std::max<std::int64_t>(Left, 1);
-    submit(Item.m_From, Item.m_Message);
-  }
-}
-
-void Dispatcher::onClaimLost(Submission &Loser, const ClaimReply &Msg) {
-  m_ClaimsLost.add();
-  m_Log.info("claim_lost",
-             {{"submission", Msg.m_Id.str()}, {"winner", Msg.m_Winner}});
-  m_Winners[Msg.m_Id] = Msg.m_Winner;
-  m_WinnersByTime.emplace(Msg.m_Id.timeMs(), Msg.m_Id);
-  Submit Again;
-  Again.m_Id = Loser.m_Id;
-  Again.m_Team = Loser.m_Team;
-  Again.m_Service = Loser.m_Service;
-  Again.m_Kind = Loser.m_Kind;
-  Again.m_Job = Loser.m_Job;
-  Again.m_NoRepeat = !Loser.m_Repeatable;
-  Again.m_Tasks = Loser.m_Bodies;
-  Again.m_TimeoutMs =
-      std::max<std::int64_t>(std::chrono::duration_cast<Milliseconds>(
-                                 Loser.m_Deadline - TimerService::now())
-                                 .count(),
-                             1);
-  std::vector<Waiter> Waiters = Loser.m_Waiters;
-  m_Timers.cancel(Loser.m_Timeout);
-  m_Submissions.erase(Again.m_Id);
-  for (const Waiter &Waiting : Waiters) {
-    Again.m_Call = Waiting.m_Call;
-    if (Msg.m_Team != Again.m_Team)
-      refuse(Waiting.m_Peer, Again, FailureCode::UnknownSubmission,
-             "no such submission of this team");
-    else if (Msg.m_Digest != submissionDigest(Again))
-      refuse(Waiting.m_Peer, Again, FailureCode::IdMismatch,
-             "the id was used with another body");
-    else
-      forward(Waiting.m_Peer, Again, Msg.m_Winner);
-  }
-}
-
-void Dispatcher::onClaimFailed(Submission &Claimer, const ClaimReply &Msg) {
-  FailureCode Code =
-      failureFromName(Msg.m_Failure).value_or(FailureCode::Internal);
-  Claimer.m_Claiming = false;
-  bool GoesOnWithoutClaim = Claimer.m_Repeatable && !Claimer.isOver() &&
-                            (Code == FailureCode::PlatformUnavailable ||
-                             Code == FailureCode::ClaimHistoryUnread);
-  m_Log.info("claim_failed", {{"submission", Claimer.m_Id.str()},
-                              {"failure", Msg.m_Failure},
-                              {"runs_without_claim", GoesOnWithoutClaim}});
-  if (GoesOnWithoutClaim) {
-    run(Claimer);
-    return;
-  }
-  // Nothing was started here, and the id is not remembered: a resubmission
-  // claims again, and starts only if this or a later claim of this incarnation
-  // turns out to be the first.
-  Claimer.m_Exclusive = false;
-  if (!Claimer.isOver())
-    end(Claimer, Outcome::Unknown, makeFailure(Code, Msg.m_Detail));
-  dropLater(Claimer.m_Id);
-}
-
 void Dispatcher::run(Submission &Owned) {
   Admission Result = m_Runner.admit(Owned);
   if (!Result.ok()) {
@@ -401,95 +278,6 @@
   sendAnswer({From, Msg.m_Call}, std::move(Reply));
 }
 
-void Dispatcher::forward(PeerId From, const Submit &Msg, Incarnation Owner) {
-  std::optional<PeerId> Peer = m_Links.m_FindOwner(Owner);
-  if (!Peer || Msg.m_Hops >= MaxHops) {
-    refuse(From, Msg, FailureCode::OwnerGone,
-           "the dispatcher that owns this id cannot be reached");
-    return;
-  }
-  Submit Passed = Msg;
-  Passed.m_Call = ++m_LastCall;
-  ++Passed.m_Hops;
-  m_Forwards[Passed.m_Call] = {{From, Msg.m_Call}, *Peer, Msg.m_Id, false};
-  m_Forwarded.add();
-  m_Log.info("forwarded_to_owner", {{"submission", Msg.m_Id.str()},
-                                    {"owner", Owner},
-                                    {"hops", Passed.m_Hops}});
-  m_Links.m_ForwardSubmit(*Peer, Passed);
-}
-
-void Dispatcher::onForwardedAnswer(PeerId From, const Answer &Msg) {
-  auto Found = m_Forwards.find(Msg.m_Call);
-  bool IsOurs = Found != m_Forwards.end() && !Found->second.m_IsCancel &&
-                Found->second.m_Owner == From && Found->second.m_Id == Msg.m_Id;
-  if (!IsOurs) {
-    m_Log.warning("answer_mismatch", {{"submission", Msg.m_Id.str()}});
-    return;
-  }
-  Waiter To = Found->second.m_Waiter;
-  m_Forwards.erase(Found);
-  sendAnswer(To, Msg);
-}
-
-void Dispatcher::cancel(PeerId From, const Cancel &Msg) {
-  CancelReply Reply;
-  Reply.m_Call = Msg.m_Call;
-  Reply.m_Id = Msg.m_Id;
-  Submission *Known = m_Submissions.find(Msg.m_Id);
-  if (Known && Known->m_Team == Msg.m_Team) {
-    if (!Known->isOver()) {
-      m_Log.info("cancelled", {{"submission", Msg.m_Id.str()}});
-      end(*Known, Known->outcomeIfEnded(),
-          makeFailure(FailureCode::Cancelled, "the caller cancelled it"));
-    }
-    m_Links.m_CancelReply(From, Reply);
-    return;
-  }
-  auto Winner = m_Winners.find(Msg.m_Id);
-  bool IsForeignTicket =
-      Msg.m_Id.isTicket() && Msg.m_Id.incarnation() != m_Self;
-  if (IsForeignTicket)
-    forwardCancel(From, Msg, Msg.m_Id.incarnation());
-  else if (Winner != m_Winners.end())
-    forwardCancel(From, Msg, Winner->second);
-  else {
-    Reply.m_Failure = failureName(FailureCode::UnknownSubmission);
-    Reply.m_Detail = "no such submission of this team";
-    m_Links.m_CancelReply(From, Reply);
-  }
-}
-
-void Dispatcher::forwardCancel(PeerId From, const Cancel &Msg,
-                               Incarnation Owner) {
-  std::optional<PeerId> Peer = m_Links.m_FindOwner(Owner);
-  if (!Peer || Msg.m_Hops >= MaxHops) {
-    CancelReply Reply;
-    Reply.m_Call = Msg.m_Call;
-    Reply.m_Id = Msg.m_Id;
-    Reply.m_Failure = failureName(FailureCode::OwnerGone);
-    Reply.m_Detail = "the dispatcher that owns this id cannot be reached";
-    m_Links.m_CancelReply(From, Reply);
-    return;
-  }
-  Cancel Passed = Msg;
-  Passed.m_Call = ++m_LastCall;
-  ++Passed.m_Hops;
-  m_Forwards[Passed.m_Call] = {{From, Msg.m_Call}, *Peer, Msg.m_Id, true};
-  m_Links.m_ForwardCancel(*Peer, Passed);
-}
-
-void Dispatcher::onForwardedCancelReply(PeerId From, const CancelReply &Msg) {
-  auto Found = m_Forwards.find(Msg.m_Call);
-  if (Found == m_Forwards.end() || Found->second.m_Owner != From)
-    return;
-  CancelReply Reply = Msg;
-  Reply.m_Call = Found->second.m_Waiter.m_Call;
-  PeerId To = Found->second.m_Waiter.m_Peer;
-  m_Forwards.erase(Found);
-  m_Links.m_CancelReply(To, Reply);
-}
-
 MintedTickets Dispatcher::mint(const MintTickets &Msg) {
   MintedTickets Reply;
   Reply.m_Call = Msg.m_Call;
@@ -529,32 +317,6 @@
   }
 }
 
-void Dispatcher::onPeerDown(PeerId Peer) {
-  std::vector<std::pair<CallNumber, Forward>> Lost;
-  for (const auto &Item : m_Forwards)
-    if (Item.second.m_Owner == Peer || Item.second.m_Waiter.m_Peer == Peer)
-      Lost.push_back(Item);
-  for (const auto &[Call, Passed] : Lost) {
-    m_Forwards.erase(Call);
-    if (Passed.m_Waiter.m_Peer == Peer)
-      continue;
-    if (Passed.m_IsCancel) {
-      CancelReply Reply;
-      Reply.m_Call = Passed.m_Waiter.m_Call;
-      Reply.m_Id = Passed.m_Id;
-      Reply.m_Failure = failureName(FailureCode::ConnectionLost);
-      Reply.m_Detail = "the connection to the owner broke";
-      m_Links.m_CancelReply(Passed.m_Waiter.m_Peer, Reply);
-      continue;
-    }
-    Answer Reply;
-    Reply.m_Id = Passed.m_Id;
-    Reply.m_Failure = failureName(FailureCode::ConnectionLost);
-    Reply.m_Detail = "the connection to the owner broke";
-    sendAnswer(Passed.m_Waiter, std::move(Reply));
-  }
-}
-
 std::size_t Dispatcher::cutAll() {
   std::vector<SubmissionId> Unfinished;
   m_Submissions.forEachUnfinished(
--- a/Source/Entry/CallTable.cpp
+++ b/Source/Entry/CallTable.cpp
@@ -9,6 +9,12 @@
 
 } // namespace
 
+Outcome outcomeOfLostCall(CallerAction Action) {
+  // Nothing can have run under tickets that nobody received.
+  return Action == CallerAction::MintTickets ? Outcome::NotRun
+                                             : Outcome::Unknown;
+}
+
 CallNumber CallTable::add(WaitingCall Call) {
   CallNumber Number = ++m_LastNumber;
   m_Waiting.emplace(Number, std::move(Call));
--- a/Source/Entry/CallTable.h
+++ b/Source/Entry/CallTable.h
@@ -40,6 +40,9 @@
   absl::AnyInvocable<void(CallReply)> m_Done;
 };
 
+/// Returns what is known of a call that was sent and has no answer.
+Outcome outcomeOfLostCall(CallerAction Action);
+
 /// How a reply relates to the calls.
 enum class ReplyMatch {
   Waiting,  ///< It answers a waiting call.
