Ctl: Make the calls about one job by one template

Three commands differed in name, method and path only, and two explanations had one function each of the same text. No change of behaviour: CtlTest and the checks of the help pages pass.

--- a/Source/Ctl/CtlMain.cpp
+++ b/Source/Ctl/CtlMain.cpp
@@ -9,10 +9,8 @@
 #include "ConfigPublishCommand.h"
 #include "ConfigShowCommand.h"
 #include "ExplainCommand.h"
-#include "JobCancelCommand.h"
-#include "JobShowCommand.h"
+#include "JobCallCommand.h"
 #include "JobSubmitCommand.h"
-#include "JobWaitingCommand.h"
 #include "StatusCommand.h"
 
 #include <optional>
@@ -122,8 +120,9 @@
 using AllCommands =
     CommandTable<ConfigCheckCommand, ConfigPublishCommand, ConfigShowCommand,
                  ConfigDiffCommand, ConfigHistoryCommand, JobSubmitCommand,
-                 JobShowCommand, JobCancelCommand, JobWaitingCommand,
-                 StatusCommand, ExplainCommand, ChartsCommand>;
+                 JobCallCommand<JobShowCall>, JobCallCommand<JobCancelCall>,
+                 JobCallCommand<JobWaitingCall>, StatusCommand, ExplainCommand,
+                 ChartsCommand>;
 
 void showAllHelp(std::ostream &Out) {
   Out << "Usage: auburnhub-ctl COMMAND [OPTION]...\n\n"
--- a/Source/Ctl/Explanation.cpp
+++ b/Source/Ctl/Explanation.cpp
@@ -88,15 +88,6 @@
   return Result;
 }
 
-const DecisionLine *lastOf(std::span<const DecisionLine> Lines,
-                           std::string_view Event) {
-  auto It =
-      std::find_if(Lines.rbegin(), Lines.rend(), [&](const DecisionLine &Line) {
-        return Line.m_Event == Event;
-      });
-  return It == Lines.rend() ? nullptr : &*It;
-}
-
 /// Returns the event that stands for sending a task. A dispatcher that writes
 /// no line for the start sends a task right after placing it.
 std::string_view startEvent(std::span<const DecisionLine> Lines) {
--- a/Source/Ctl/JobExplanation.cpp
+++ b/Source/Ctl/JobExplanation.cpp
@@ -62,15 +62,6 @@
     {"unknown", "It may have been stored. Ask for its state."},
 });
 
-const DecisionLine *lastOf(std::span<const DecisionLine> Lines,
-                           std::string_view Event) {
-  auto It =
-      std::find_if(Lines.rbegin(), Lines.rend(), [&](const DecisionLine &Line) {
-        return Line.m_Event == Event;
-      });
-  return It == Lines.rend() ? nullptr : &*It;
-}
-
 std::string describeAnswer(const DecisionLine &Line) {
   std::string Outcome = Line.text("outcome");
   std::string Result = "The node " + Line.m_Vm + " answered '" + Outcome + "'";
--- a/Source/Ctl/LineText.cpp
+++ b/Source/Ctl/LineText.cpp
@@ -51,4 +51,13 @@
   return std::to_string(Count) + " " + Noun + (Count == 1 ? "" : "s");
 }
 
+const DecisionLine *lastOf(std::span<const DecisionLine> Lines,
+                           std::string_view Event) {
+  auto It =
+      std::find_if(Lines.rbegin(), Lines.rend(), [&](const DecisionLine &Line) {
+        return Line.m_Event == Event;
+      });
+  return It == Lines.rend() ? nullptr : &*It;
+}
+
 } // namespace auburnhub
--- a/Source/Ctl/LineText.h
+++ b/Source/Ctl/LineText.h
@@ -28,6 +28,10 @@
 /// Returns the fields that say something beyond the sentence, in brackets.
 std::string otherFields(const DecisionLine &Line, std::set<std::string> Used);
 
+/// Returns the last line of an event; null if there is none.
+const DecisionLine *lastOf(std::span<const DecisionLine> Lines,
+                           std::string_view Event);
+
 /// Returns a count with its noun in the singular or plural.
 std::string counted(std::size_t Count, const std::string &Noun);
 
