Node: Claim another data centre's shard only if its workers answer

Ruled out: fencing by a paused node (no process_stalled in the logs), the store (reached by one side throughout).

It claims when one has answered.

Test: ItsShardIsNotClaimedByThoseWhoCannotReachIt; it failed with the question taken out. TheReachOfAShard is new.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -52,10 +52,9 @@
 /// given to a thread, when it is stopped; here they are served.
 class HttpServer::Impl : Poco::Runnable {
 public:
-  Impl(net::ServerSocket Socket, const HttpServerOptions &Options,
+  Impl(const net::ServerSocket &Socket, const HttpServerOptions &Options,
        Handler Handle)
-      : m_Options(Options), m_Handle(std::move(Handle)),
-        m_Socket(std::move(Socket)),
+      : m_Options(Options), m_Handle(std::move(Handle)), m_Socket(Socket),
         m_Pool("http", 2, Options.m_MaxConnections + 1, /*idleTime=*/10,
                ThreadStackBytes),
         m_Params(makeParams(Options)) {
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -343,6 +343,62 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// Two data centres with a node and a worker each, behind proxies.
+struct TwoDataCentres : PlatformCluster {
+  TwoDataCentres() : PlatformCluster({/*m_UsesProxies=*/true, ""}) {
+    for (const char *Zone : {"a", "b"}) {
+      addExecutor(Zone);
+      addNode(Zone);
+    }
+    BOOST_REQUIRE(untilReady());
+  }
+
+  /// Cuts the data centres from each other, and from the other's worker.
+  void cut(bool Value) {
+    for (std::size_t Node : {0, 1})
+      linkProxy(Node).set({{}, Value, Value, false});
+    executorProxy(1).set({{}, Value, Value, false});
+  }
+
+  bool hasClaimed(std::size_t Node, const std::string &Shard) const {
+    for (const std::string &Text : log(Node)) {
+      auto Line = nlohmann::json::parse(Text, nullptr, false);
+      if (Line.is_object() && Line.value("event", "") == "shard_claimed" &&
+          Line.value("shard", "") == Shard)
+        return true;
+    }
+    return false;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(WhenADataCentreIsCutOff)
+
+BOOST_FIXTURE_TEST_CASE(ItsShardIsNotClaimedByThoseWhoCannotReachIt,
+                        TwoDataCentres) {
+  BOOST_REQUIRE(until([&] { return hasClaimed(1, "b/0"); }));
+  cut(true);
+  loggedOf(0, "", "peer_down", "peer");
+  // Nobody answers the probes.
+  loggedOf(0, "b/0", "shard_probed", "shard");
+  auto Reply = submit(0, JobA, 1);
+  BOOST_TEST(until([&] { return Reply->has(200); }));
+  BOOST_TEST(!hasClaimed(0, "b/0"));
+  cut(false);
+  BOOST_TEST(until([&] {
+    auto Again = submit(1, JobB, 3);
+    until([&] { return Again->m_Answer.has_value(); });
+    return Again->has(200);
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ItsShardIsClaimedByThoseWhoCan, TwoDataCentres) {
+  BOOST_REQUIRE(until([&] { return hasClaimed(1, "b/0"); }));
+  signal(1, SIGKILL);
+  BOOST_TEST(until([&] { return hasClaimed(0, "b/0"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhileTheStoreIsAway)
 
 BOOST_FIXTURE_TEST_CASE(ServesOn, ThreeNodes) {
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -134,9 +134,10 @@
 }
 
 void PlatformCluster::start(NodeProcess &Node) {
+  const std::string Charts = AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts";
   std::vector<std::string> Arguments = {
       "--settings",       writeSettings(Node),
-      "--charts",         AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts",
+      "--charts",         Charts,
       "--interface-port", std::to_string(Node.m_Where.m_Interface.m_Port)};
   if (Node.m_Links) {
     Arguments.emplace_back("--advertise");
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -8,6 +8,7 @@
 #include "auburnhub/Node/PeerLinks.h"
 #include "auburnhub/Node/ShardHost.h"
 #include "auburnhub/Node/ShardMap.h"
+#include "auburnhub/Node/ShardReach.h"
 #include "auburnhub/Node/StoredRuns.h"
 
 #include <functional>
@@ -170,6 +171,8 @@
   void updateOwnership();
   /// The same once, after the events that are already waiting.
   void updateOwnershipSoon();
+  /// Tells whether a claim of the shard would reach its workers.
+  bool mayClaim(TimePoint Now, const ShardId &Shard);
   void claim(const ShardId &Shard);
   void reconcile();
   void updateRouter();
@@ -182,6 +185,7 @@
   NodeSettings m_Settings;
   NodeEvents m_Events;
   auburnhub::Log m_Log{"ownership"};
+  ShardReach<Transport> m_Reach;
   ShardMap m_Shards;
   ShardHost<Transport> m_Host;
   JobRouter m_Router;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -50,6 +50,7 @@
                            MetricsRegistry &Metrics, NodeEvents Events)
     : m_Loop(Loop), m_Settings(std::move(Settings)),
       m_Events(std::move(Events)),
+      m_Reach(Orders, [this] { updateOwnershipSoon(); }),
       m_Shards(m_Settings.m_Name, m_Settings.m_DataCentre, m_Settings.m_Weight),
       m_Host(
           Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -72,6 +72,8 @@
   }
   if (Now >= m_ClaimNotBefore && m_WorkersRead && !m_Draining)
     for (const ShardId &Shard : m_Shards.toClaim()) {
+      if (!mayClaim(Now, Shard))
+        continue;
       claim(Shard);
       Changed = true;
     }
@@ -97,6 +99,17 @@
     sendStatus();
 }
 
+template <WorkerTransport Transport, JobLog Log>
+bool Node<Transport, Log>::mayClaim(TimePoint Now, const ShardId &Shard) {
+  if (Shard.m_DataCentre == m_Settings.m_DataCentre)
+    return true;
+  std::vector<WorkerSpec> Workers;
+  for (const auto &[Id, Spec] : m_Workers)
+    if (m_Shards.shardOf(Id, Spec.m_DataCentre) == Shard)
+      Workers.push_back(Spec);
+  return m_Reach.reaches(Now, Shard, Workers);
+}
+
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::claim(const ShardId &Shard) {
   auto Clock = static_cast<std::uint64_t>(EventLoop::wallMilliseconds());
--- /dev/null
+++ b/include/auburnhub/Node/ShardReach.h
@@ -0,0 +1,99 @@
+#ifndef AUBURNHUB_NODE_SHARDREACH_H
+#define AUBURNHUB_NODE_SHARDREACH_H
+
+#include "auburnhub/Base/Log.h"
+#include "auburnhub/Jobs/WorkerTransport.h"
+#include "auburnhub/Node/NodeMessages.h"
+#include "auburnhub/Policy/Types.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <utility>
+
+namespace auburnhub {
+
+/// Finds out whether workers of another data centre can be reached before their
+/// shard is claimed.
+///
+/// A claim that reaches no worker does harm: once the way is back, its higher
+/// token takes the workers from the owner that has served them all the while.
+template <WorkerTransport Transport> class ShardReach {
+public:
+  /// Found is called when a worker has answered.
+  ShardReach(Transport &Orders, std::function<void()> Found)
+      : m_Orders(Orders), m_Found(std::move(Found)),
+        m_Self(std::make_shared<ShardReach *>(this)) {}
+
+  /// Tells whether a worker of the shard has answered lately. If not, asks some
+  /// of them.
+  bool reaches(TimePoint Now, const ShardId &Shard,
+               std::span<const WorkerSpec> Workers);
+
+private:
+  /// An answer counts for this time, in milliseconds: some times the pause
+  /// between two looks at who owns what.
+  static constexpr double AnswerCountsMs = 1000;
+  /// Pause between two questions, in milliseconds.
+  static constexpr double PauseMs = 400;
+  /// A worker of another region answers well within this time.
+  static constexpr std::chrono::milliseconds AnswerTime{200};
+  /// Workers asked at once, as single ones may be down.
+  static constexpr std::size_t WorkersAsked = 3;
+
+  struct Contact {
+    std::optional<TimePoint> m_AskedAt;
+    std::optional<TimePoint> m_AnsweredAt;
+  };
+
+  void ask(TimePoint Now, const ShardId &Shard, const WorkerSpec &Worker);
+
+  Transport &m_Orders;
+  std::function<void()> m_Found;
+  Log m_Log{"ownership"};
+  std::map<ShardId, Contact> m_Contacts;
+  /// Callbacks of orders hold this weakly.
+  std::shared_ptr<ShardReach *> m_Self;
+};
+
+template <WorkerTransport Transport>
+bool ShardReach<Transport>::reaches(TimePoint Now, const ShardId &Shard,
+                                    std::span<const WorkerSpec> Workers) {
+  Contact &Last = m_Contacts[Shard];
+  if (Last.m_AnsweredAt &&
+      millisecondsBetween(*Last.m_AnsweredAt, Now) < AnswerCountsMs)
+    return true;
+  if (Last.m_AskedAt && millisecondsBetween(*Last.m_AskedAt, Now) < PauseMs)
+    return false;
+  Last.m_AskedAt = Now;
+  std::size_t Asked = std::min(WorkersAsked, Workers.size());
+  m_Log.info("shard_probed", {{"shard", Shard.str()}, {"workers", Asked}});
+  for (const WorkerSpec &Worker : Workers.first(Asked))
+    ask(Now, Shard, Worker);
+  return false;
+}
+
+template <WorkerTransport Transport>
+void ShardReach<Transport>::ask(TimePoint Now, const ShardId &Shard,
+                                const WorkerSpec &Worker) {
+  // With the lowest token the call changes nothing at a worker, and fences
+  // nobody.
+  std::weak_ptr<ShardReach *> Weak = m_Self;
+  m_Orders.renew(Worker, RenewOrder(), AnswerTime,
+                 [Weak, Now, Shard](const RenewReply &Reply) {
+                   auto Self = Weak.lock();
+                   bool Answered = Reply.m_Answer != OrderAnswer::NotSent &&
+                                   Reply.m_Answer != OrderAnswer::NoAnswer;
+                   if (!Self || !Answered)
+                     return;
+                   (*Self)->m_Contacts[Shard].m_AnsweredAt = Now;
+                   (*Self)->m_Found();
+                 });
+}
+
+} // namespace auburnhub
+
+#endif
