Node: Do not claim a shard as soon as a cut heals

A node that still missed the owners on the other side asked, was answered, claimed and fenced them.

Change: if none of the workers asked had answered before, a first answer counts only after 1.5 s, the longest pause between two tries of a link and a greeting.

Test: CountsOnlyAfterAWhileIfThereWasNoneBefore.

--- a/Tests/Node/ShardReachTest.cpp
+++ b/Tests/Node/ShardReachTest.cpp
@@ -78,6 +78,17 @@
   BOOST_TEST(m_Orders.m_Asked.size() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(CountsOnlyAfterAWhileIfThereWasNoneBefore) {
+  (void)reaches(0);
+  (void)reaches(500);
+  answer(3, OrderAnswer::Fenced);
+  BOOST_TEST(!reaches(600));
+  (void)reaches(1550);
+  answer(6, OrderAnswer::Fenced);
+  BOOST_TEST(!reaches(1900));
+  BOOST_TEST(reaches(2050));
+}
+
 BOOST_AUTO_TEST_CASE(IsAskedForAgainAfterAWhile) {
   (void)reaches(0);
   answer(0, OrderAnswer::Accepted);
--- a/include/auburnhub/Node/ShardReach.h
+++ b/include/auburnhub/Node/ShardReach.h
@@ -21,6 +21,8 @@
 ///
 /// A claim that reaches no worker does harm: once the way is back, its higher
 /// token takes the workers from the owner that has served them all the while.
+/// So does a claim that is made as soon as the way is back: the links to that
+/// owner may take a little longer.
 template <WorkerTransport Transport> class ShardReach {
 public:
   /// Found is called when a worker has answered.
@@ -28,8 +30,8 @@
       : m_Orders(Orders), m_Found(std::move(Found)),
         m_Self(std::make_shared<ShardReach *>(this)) {}
 
-  /// Tells whether a worker of the shard has answered lately. If not, asks some
-  /// of them.
+  /// Tells whether a worker of the shard has answered lately, and for a while
+  /// if none had answered before. If not, asks some of them.
   bool reaches(TimePoint Now, const ShardId &Shard,
                std::span<const WorkerSpec> Workers);
 
@@ -41,12 +43,18 @@
   static constexpr double PauseMs = 400;
   /// A worker of another region answers well within this time.
   static constexpr std::chrono::milliseconds AnswerTime{200};
+  /// From the first answer after a silence until links are made again, in
+  /// milliseconds: the longest pause between two tries, and the greeting.
+  static constexpr double LinksBackMs = 1500;
   /// Workers asked at once, as single ones may be down.
   static constexpr std::size_t WorkersAsked = 3;
 
   struct Contact {
     std::optional<TimePoint> m_AskedAt;
     std::optional<TimePoint> m_AnsweredAt;
+    /// None of those asked had answered when others were asked next.
+    bool m_WasSilent = false;
+    std::optional<TimePoint> m_BackSince; ///< First answer after that.
   };
 
   void ask(TimePoint Now, const ShardId &Shard, const WorkerSpec &Worker);
@@ -65,9 +73,16 @@
   Contact &Last = m_Contacts[Shard];
   if (Last.m_AnsweredAt &&
       millisecondsBetween(*Last.m_AnsweredAt, Now) < AnswerCountsMs)
-    return true;
+    return !Last.m_WasSilent ||
+           millisecondsBetween(*Last.m_BackSince, Now) >= LinksBackMs;
   if (Last.m_AskedAt && millisecondsBetween(*Last.m_AskedAt, Now) < PauseMs)
     return false;
+  bool HadAnswer = Last.m_AnsweredAt && Last.m_AskedAt &&
+                   *Last.m_AnsweredAt >= *Last.m_AskedAt;
+  if (Last.m_AskedAt && !HadAnswer) {
+    Last.m_WasSilent = true;
+    Last.m_BackSince.reset();
+  }
   Last.m_AskedAt = Now;
   std::size_t Asked = std::min(WorkersAsked, Workers.size());
   m_Log.info("shard_probed", {{"shard", Shard.str()}, {"workers", Asked}});
@@ -89,7 +104,10 @@
                                    Reply.m_Answer != OrderAnswer::NoAnswer;
                    if (!Self || !Answered)
                      return;
-                   (*Self)->m_Contacts[Shard].m_AnsweredAt = Now;
+                   Contact &Last = (*Self)->m_Contacts[Shard];
+                   Last.m_AnsweredAt = Now;
+                   if (!Last.m_BackSince)
+                     Last.m_BackSince = Now;
                    (*Self)->m_Found();
                  });
 }
