Jobs: Miss a renewal without an answer after 200 ms instead of 400

Each one left the owner blind for ends at that worker for 400 ms (250 of waiting, 150 of slack), 75 to 108 times in two seconds, and jobs of 50 ms late.

Ruled out: refused orders (none), workers that were closed (they answered the next renewal within milliseconds).

Change: a renewal waits 120 ms for an end, and is missed 80 ms after that.

Test: MissesARenewalWithinAFifthOfTheLease; 400 ms cannot pass it.

--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -28,13 +28,16 @@
     m_Stops.push_back({Order, std::move(Done)});
   }
   void renew(const WorkerSpec &, const RenewOrder &Order,
-             std::chrono::milliseconds, std::function<void(RenewReply)> Done) {
+             std::chrono::milliseconds Timeout,
+             std::function<void(RenewReply)> Done) {
     m_Renewals.push_back({Order, std::move(Done)});
+    m_RenewTimeout = Timeout;
   }
 
   std::deque<Call<StartOrder, OrderReply>> m_Starts;
   std::deque<Call<StopOrder, OrderReply>> m_Stops;
   std::deque<Call<RenewOrder, RenewReply>> m_Renewals;
+  std::chrono::milliseconds m_RenewTimeout{0}; ///< Of the last one.
 };
 
 struct SessionFixture {
@@ -137,6 +140,14 @@
 
 BOOST_AUTO_TEST_SUITE(WithARun)
 
+BOOST_AUTO_TEST_CASE(MissesARenewalWithinAFifthOfTheLease) {
+  renewed(listed());
+  m_Session->start(1, m_Task, 1, "spec", 100);
+  answerStart(OrderAnswer::Accepted);
+  BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+  BOOST_TEST(m_Orders.m_RenewTimeout.count() <= 0.2 * m_Settings.m_LeaseMs);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsItsEndAndAcknowledgesItOnce) {
   renewed(listed());
   m_Session->start(1, m_Task, 1, "spec", 100);
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -22,9 +22,9 @@
   double m_LeaseMs = 1000;         ///< Longest lease that a worker grants.
   double m_LeaseClockShare = 0.03; ///< How much slower its clock may run.
   double m_OrderTimeoutMs = 120;   ///< An order without an answer is in doubt.
-  double m_RenewWaitMs = 250;      ///< A quarter of the lease: two may be lost.
-  double m_BusyWaitMs = 120;       ///< The same while a run is overdue.
-  double m_RenewSlackMs = 150;     ///< Longer than the wait: no answer.
+  double m_RenewWaitMs = 120; ///< An eighth of the lease: some may be lost.
+  double m_BusyWaitMs = 120;  ///< The same while a run is overdue.
+  double m_RenewSlackMs = 80; ///< Longer than the wait: no answer.
   /// Pause between two renewals while an end may not be acknowledged yet: the
   /// worker answers such a renewal at once. A few appends to the log.
   double m_HeldEndPauseMs = 30;
