Jobs: Drop what a session kept to tell overdue runs

Renewals wait equally long now whether a run is overdue or not; what told the two apart is gone. No change of behaviour.

--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -142,7 +142,7 @@
 
 BOOST_AUTO_TEST_CASE(MissesARenewalWithinAFifthOfTheLease) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
   BOOST_TEST(m_Orders.m_RenewTimeout.count() <= 0.2 * m_Settings.m_LeaseMs);
@@ -150,7 +150,7 @@
 
 BOOST_AUTO_TEST_CASE(ReportsItsEndAndAcknowledgesItOnce) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   BOOST_TEST(m_Accepted.size() == 1U);
   renewed(listed({}, {{5, m_Task, 1, RunEnd::Done}}));
@@ -165,7 +165,7 @@
 
 BOOST_AUTO_TEST_CASE(TakesAListThatIsOlderThanTheStartForNothing) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   // The renewal went out before the start was answered.
   answerStart(OrderAnswer::Accepted);
   renewed(listed());
@@ -177,7 +177,7 @@
 
 BOOST_AUTO_TEST_CASE(KnowsThatANewLifeRunsNothing) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   renewed(listed({}, {}, 2));
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
@@ -189,7 +189,7 @@
 
 BOOST_AUTO_TEST_CASE(StopsItAndBelievesNothingBeforeThatIsConfirmed) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::NoAnswer);
   BOOST_REQUIRE(m_Orders.m_Stops.size() == 1U);
   // Not listed, but the order may yet be carried out.
@@ -205,7 +205,7 @@
 
 BOOST_AUTO_TEST_CASE(StopsItAgainWhenTheStopIsNotAnsweredEither) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::NoAnswer);
   answerStop(OrderAnswer::NoAnswer);
   BOOST_TEST(m_Orders.m_Stops.size() == 1U);
@@ -214,7 +214,7 @@
 
 BOOST_AUTO_TEST_CASE(KnowsThatAnOrderWithoutAConnectionNeverArrived) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::NotSent);
   BOOST_TEST((m_Refused.at(1) == RefusalReason::Unreachable));
   BOOST_TEST(!m_Reachable);
@@ -226,7 +226,7 @@
 
 BOOST_AUTO_TEST_CASE(BelievesItsRunsAliveWhileALeaseMayLast) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   renewed(RenewReply());
   BOOST_TEST(!m_Reachable);
@@ -237,7 +237,7 @@
   m_Settings.m_LeaseMs = 20;
   m_Settings.m_OrderTimeoutMs = 10;
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   for (int Try = 0; Try < 200 && !m_Ended.contains(1); ++Try) {
     if (!m_Orders.m_Renewals.empty())
@@ -251,7 +251,7 @@
 
 BOOST_AUTO_TEST_CASE(ExtendsNoLeaseUntilItAnswers) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   renewed(RenewReply());
   while (m_Orders.m_Renewals.empty()) {
@@ -265,7 +265,7 @@
 
 BOOST_AUTO_TEST_CASE(DoesNothingMoreOnceItIsFenced) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Fenced);
   BOOST_TEST(m_Fenced);
   std::size_t Renewals = m_Orders.m_Renewals.size();
@@ -278,7 +278,7 @@
 
 BOOST_AUTO_TEST_CASE(OfAStoredRunUntilItIsSettled) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  m_Session->start(1, m_Task, 1, "spec", true);
   answerStart(OrderAnswer::Accepted);
   renewed(listed({}, {{1, m_Task, 1, RunEnd::Done}}));
   BOOST_TEST((m_Ended.at(1) == RunEnd::Done));
@@ -290,7 +290,7 @@
 
 BOOST_AUTO_TEST_CASE(ButNotOfOneThatWasStopped) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  m_Session->start(1, m_Task, 1, "spec", true);
   answerStart(OrderAnswer::Accepted);
   renewed(listed({}, {{1, m_Task, 1, RunEnd::Stopped}}));
   BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
@@ -316,7 +316,7 @@
   m_Settings.m_LeaseMs = 40;
   m_Settings.m_OrderTimeoutMs = 10;
   renewed(listed({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}));
-  m_Session->start(1, m_Task, 1, "spec", 100);
+  m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
   m_Session->settleAfterLease({"other", 0, 0}, 2);
   BOOST_TEST(!m_Reachable);
@@ -344,7 +344,7 @@
 
 BOOST_AUTO_TEST_CASE(WhileTheWorkerHasMoreEndsThanItLists) {
   renewed(listed());
-  m_Session->start(1, m_Task, 1, "spec", 100, true);
+  m_Session->start(1, m_Task, 1, "spec", true);
   answerStart(OrderAnswer::Accepted);
   // The first renewal was asked for before the run was known.
   renewed(listed());
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -23,7 +23,6 @@
   double m_LeaseClockShare = 0.03; ///< How much slower its clock may run.
   double m_OrderTimeoutMs = 120;   ///< An order without an answer is in doubt.
   double m_RenewWaitMs = 120; ///< An eighth of the lease: some may be lost.
-  double m_BusyWaitMs = 120;  ///< The same while a run is overdue.
   double m_RenewSlackMs = 80; ///< Longer than the wait: no answer.
   /// Pause between two renewals while an end may not be acknowledged yet: the
   /// worker answers such a renewal at once. A few appends to the log.
@@ -66,7 +65,7 @@
 
   /// The worker keeps the end of a stored run until settle().
   void start(RunId Id, const TaskRef &Task, std::uint32_t Number,
-             const std::string &Spec, double ExpectedMs, bool Stored = false);
+             const std::string &Spec, bool Stored = false);
   void stop(RunId Id);
   /// The worker may forget this end.
   void settle(const TaskRef &Task, std::uint32_t Number);
@@ -97,13 +96,10 @@
     std::uint32_t m_Number = 0;
     bool m_Accepted = false;
     bool m_Stored = false;
-    bool m_InDoubt = false; ///< The start was not answered.
     bool m_StopWanted = false;
     bool m_StopPending = false;
     std::optional<TimePoint> m_StopConfirmed;
     TimePoint m_KnownSince; ///< Listed or accepted by then.
-    TimePoint m_StartedAt;
-    double m_ExpectedMs = 0;
   };
 
   std::int64_t leaseUntil(TimePoint Now) const;
@@ -127,7 +123,6 @@
   void endRun(RunId Id, RunEnd How);
   void endAll(RunEnd How);
   void fenced();
-  bool overdue(TimePoint Now) const;
   RunId findRun(const TaskRef &Task, std::uint32_t Number) const;
 
   EventLoop &m_Loop;
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -94,15 +94,12 @@
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::start(RunId Id, const TaskRef &Task,
                                      std::uint32_t Number,
-                                     const std::string &Spec, double ExpectedMs,
-                                     bool Stored) {
+                                     const std::string &Spec, bool Stored) {
   TimePoint Now = EventLoop::now();
   Run &Added = m_Runs[Id];
   Added.m_Task = Task;
   Added.m_Number = Number;
   Added.m_Stored = Stored;
-  Added.m_StartedAt = Now;
-  Added.m_ExpectedMs = ExpectedMs;
   noteLease(Now);
   StartOrder Order{Task, Number, Spec, m_Token, leaseUntil(Now)};
   std::weak_ptr<WorkerSession *> Weak = m_Self;
@@ -159,7 +156,6 @@
   case OrderAnswer::NoAnswer:
     if (Item.m_Accepted)
       return;
-    Item.m_InDoubt = true;
     m_Log.info("order_unanswered", {{"worker", m_Spec.m_Id},
                                     {"task", Item.m_Task.str()},
                                     {"run", Item.m_Number}});
@@ -220,16 +216,6 @@
   });
 }
 
-template <WorkerTransport Transport>
-bool WorkerSession<Transport>::overdue(TimePoint Now) const {
-  return std::any_of(m_Runs.begin(), m_Runs.end(), [&](const auto &Entry) {
-    const Run &Item = Entry.second;
-    return Item.m_StopWanted || Item.m_InDoubt ||
-           millisecondsBetween(Item.m_StartedAt, Now) >
-               Item.m_ExpectedMs + m_Settings.m_BusyWaitMs;
-  });
-}
-
 template <WorkerTransport Transport> void WorkerSession<Transport>::renew() {
   if (m_Renewing || m_Over)
     return;
@@ -241,8 +227,8 @@
   if (Serving && !m_Runs.empty()) {
     noteLease(Now);
     Order.m_LeaseUntilMs = leaseUntil(Now);
-    Order.m_Wait = EventLoop::Duration(static_cast<int>(
-        overdue(Now) ? m_Settings.m_BusyWaitMs : m_Settings.m_RenewWaitMs));
+    Order.m_Wait =
+        EventLoop::Duration(static_cast<int>(m_Settings.m_RenewWaitMs));
   }
   m_LastEndSent = Order.m_LastEndSeen;
   m_Renewing = true;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -283,8 +283,7 @@
                              {"expected_ms", std::round(Order.m_ExpectedMs)},
                              {"waited_ms", std::round(Order.m_WaitedMs)}});
   Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
-                                 Order.m_Spec, Order.m_ExpectedMs,
-                                 Order.m_Stored);
+                                 Order.m_Spec, Order.m_Stored);
 }
 
 template <WorkerTransport Transport>
