Jobs: Leave a task that is only much longer than guessed where it runs

Cause, found by reading what a task without a guess went through: a run counts as stalled by its expected time alone. A task a hundred times longer than guessed shows so little progress that each of its runs was stopped and the next one started elsewhere, without end.

Change: standing still is measured against the time that each percent has taken so far, and a task that has failed or stalled on two workers is left where it is.

Test: LeavesOneThatIsOnlyMuchLongerThanGuessed failed before: seven runs of a task of ten seconds that was guessed at 100 ms were stopped. After: JobsTest passes, with its random histories.

--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -182,15 +182,25 @@
   double Least = m_Parameters.m_MinStalledMs;
   double Limit =
       std::max(Least, m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
-  double StillLimit =
-      std::max(Least, m_Parameters.m_StandstillFactor * Item.m_ExpectedMs);
   // The progress must have been read after the limit.
   bool IsSlow =
       millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
       Item.m_Percent < m_Parameters.m_StalledPercent;
-  bool StandsStill =
-      millisecondsBetween(Item.m_RoseAt, Item.m_ProgressAt) >= StillLimit;
-  return IsSlow || StandsStill;
+  if (IsSlow || Item.m_Percent <= 0)
+    return IsSlow;
+  double PercentMs =
+      millisecondsBetween(Item.m_Started, Item.m_RoseAt) / Item.m_Percent;
+  double StillLimit =
+      std::max({Least, m_Parameters.m_StandstillFactor * Item.m_ExpectedMs,
+                m_Parameters.m_StandstillPercents * PercentMs});
+  return millisecondsBetween(Item.m_RoseAt, Item.m_ProgressAt) >= StillLimit;
+}
+
+bool JobScheduler::mayMove(const Run &Item) const {
+  auto Owner = m_Jobs.find(Item.m_Job);
+  return Owner == m_Jobs.end() ||
+         Owner->second->m_Tasks[Item.m_Task].m_Avoid.size() <
+             m_Parameters.m_MaxMoves;
 }
 
 void JobScheduler::checkStalled(TimePoint Now) {
@@ -198,7 +208,7 @@
   for (auto &[Id, Item] : m_Runs) {
     if (!Item.m_Accepted || Item.m_Stopping || Item.m_Stalled)
       continue;
-    if (isStalled(Item))
+    if (isStalled(Item) && mayMove(Item))
       Stalled.push_back(Id);
   }
   for (RunId Id : Stalled) {
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <set>
 
 using namespace auburnhub;
@@ -189,6 +190,32 @@
   BOOST_TEST(m_Stops.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(LeavesOneThatIsOnlyMuchLongerThanGuessed) {
+  for (const char *Worker : {"w1", "w2", "w3", "w4"})
+    addWorker(Worker);
+  // Ten seconds instead of 100 ms: its progress rises once in 100 ms.
+  JobRequest Request = job("a", 1);
+  Request.m_TimeLeftMs = 60000;
+  submit(Request);
+  std::size_t Ended = 0;
+  double RunsForMs = 0;
+  while (RunsForMs < 9000 && m_Starts.size() < 8) {
+    RunId Run = m_Starts.back().m_Run;
+    if (RunsForMs == 0)
+      accept(Run);
+    RunsForMs += 50;
+    m_Scheduler.runProgress(m_Now, Run, std::floor(RunsForMs / 100));
+    pass(50);
+    if (m_Stops.size() == Ended)
+      continue;
+    ++Ended;
+    RunsForMs = 0;
+    end(Run, RunEnd::Stopped);
+  }
+  BOOST_TEST(RunsForMs >= 9000);
+  BOOST_TEST(m_Stops.size() <= 2U);
+}
+
 BOOST_AUTO_TEST_CASE(LeavesALongOneThatMakesProgress) {
   addWorker("w1");
   submit(job("a", 1));
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -25,6 +25,12 @@
   /// So does one whose progress has not risen for this many times its expected
   /// time: even a worker ten times slower shows ten percent more by then.
   double m_StandstillFactor = 1;
+  /// Nor for so many times as long as each percent has taken it so far: a task
+  /// may be much longer than was guessed.
+  double m_StandstillPercents = 5;
+  /// A task that has failed or stalled on so many workers is left where it is:
+  /// the fault is the guess, not the worker.
+  std::size_t m_MaxMoves = 2;
   double m_MinStalledMs = 150; ///< Shorter runs are not judged.
   double m_StalledPercent = 8;
   /// Weight of one run in a worker's learned speed, once it has had enough.
