Jobs: Move a task on in the end wherever it stands still

Cause, found by reading the last change again: a task that had stalled on two workers was left on the third for good, and a stored one has no deadline.

Change: after two moves it takes a minute without any progress.

Test: MovesATaskOnWhereverItStandsStill, which the change before cannot pass. JobsTest passes, with its random histories.

--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -179,27 +179,33 @@
 }
 
 bool JobScheduler::isStalled(const Run &Item) const {
-  double Least = m_Parameters.m_MinStalledMs;
-  double Limit =
-      std::max(Least, m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
+  if (hasMovedOften(Item))
+    return standsStill(Item, m_Parameters.m_PatientStalledMs);
+  double Limit = std::max(m_Parameters.m_MinStalledMs,
+                          m_Parameters.m_StalledFactor * Item.m_ExpectedMs);
   // The progress must have been read after the limit.
   bool IsSlow =
       millisecondsBetween(Item.m_Started, Item.m_ProgressAt) >= Limit &&
       Item.m_Percent < m_Parameters.m_StalledPercent;
   if (IsSlow || Item.m_Percent <= 0)
     return IsSlow;
-  double PercentMs =
-      millisecondsBetween(Item.m_Started, Item.m_RoseAt) / Item.m_Percent;
-  double StillLimit =
-      std::max({Least, m_Parameters.m_StandstillFactor * Item.m_ExpectedMs,
-                m_Parameters.m_StandstillPercents * PercentMs});
-  return millisecondsBetween(Item.m_RoseAt, Item.m_ProgressAt) >= StillLimit;
+  return standsStill(
+      Item, std::max(m_Parameters.m_MinStalledMs,
+                     m_Parameters.m_StandstillFactor * Item.m_ExpectedMs));
+}
+
+bool JobScheduler::standsStill(const Run &Item, double LeastMs) const {
+  double PercentMs = millisecondsBetween(Item.m_Started, Item.m_RoseAt) /
+                     std::max(1.0, Item.m_Percent);
+  double Limit =
+      std::max(LeastMs, m_Parameters.m_StandstillPercents * PercentMs);
+  return millisecondsBetween(Item.m_RoseAt, Item.m_ProgressAt) >= Limit;
 }
 
-bool JobScheduler::mayMove(const Run &Item) const {
+bool JobScheduler::hasMovedOften(const Run &Item) const {
   auto Owner = m_Jobs.find(Item.m_Job);
-  return Owner == m_Jobs.end() ||
-         Owner->second->m_Tasks[Item.m_Task].m_Avoid.size() <
+  return Owner != m_Jobs.end() &&
+         Owner->second->m_Tasks[Item.m_Task].m_Avoid.size() >=
              m_Parameters.m_MaxMoves;
 }
 
@@ -208,7 +214,7 @@
   for (auto &[Id, Item] : m_Runs) {
     if (!Item.m_Accepted || Item.m_Stopping || Item.m_Stalled)
       continue;
-    if (isStalled(Item) && mayMove(Item))
+    if (isStalled(Item))
       Stalled.push_back(Id);
   }
   for (RunId Id : Stalled) {
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -216,6 +216,19 @@
   BOOST_TEST(m_Stops.size() <= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(MovesATaskOnWhereverItStandsStill) {
+  for (const char *Worker : {"w1", "w2", "w3", "w4"})
+    addWorker(Worker);
+  submitStored(0, 1, {"w1", "w2"});
+  RunId Run = m_Starts.back().m_Run;
+  accept(Run);
+  for (int I = 0; I < 70; ++I) {
+    m_Scheduler.runProgress(m_Now, Run, 0);
+    pass(1000);
+  }
+  BOOST_TEST(m_Stops.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(LeavesALongOneThatMakesProgress) {
   addWorker("w1");
   submit(job("a", 1));
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -28,9 +28,12 @@
   /// Nor for so many times as long as each percent has taken it so far: a task
   /// may be much longer than was guessed.
   double m_StandstillPercents = 5;
-  /// A task that has failed or stalled on so many workers is left where it is:
-  /// the fault is the guess, not the worker.
+  /// A task that has failed or stalled on so many workers is only moved on if
+  /// its progress does not rise for m_PatientStalledMs: the fault may be the
+  /// guess, not the worker. A percent of the longest task that is expected, an
+  /// hour and a half.
   std::size_t m_MaxMoves = 2;
+  double m_PatientStalledMs = 60000;
   double m_MinStalledMs = 150; ///< Shorter runs are not judged.
   double m_StalledPercent = 8;
   /// Weight of one run in a worker's learned speed, once it has had enough.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -198,8 +198,9 @@
   std::unique_ptr<Job> makeJob(TimePoint Now, JobRequest Request) const;
   void stopRun(Run &Item, RunId Id, JobReason Why);
   bool isStalled(const Run &Item) const;
-  /// Tells whether the task of a run may be tried elsewhere instead.
-  bool mayMove(const Run &Item) const;
+  bool standsStill(const Run &Item, double LeastMs) const;
+  /// Tells whether the task of a run has failed or stalled elsewhere often.
+  bool hasMovedOften(const Run &Item) const;
   void checkStalled(TimePoint Now);
   void checkDeadlines(TimePoint Now);
   void freeRun(RunId Id);
