Node: Join the group anew after all partitions were given up

The keeper gave its partitions up, was given them again under the generation that it had, and opened them under the same epoch, in which it had appended already; the store refused the sequence number, each 0.3 s.

Change: a keeper that is given the same generation again leaves the group and joins anew, which raises it. Going on with the old sequence instead would let an append of before, still on its way, pass for a new one.

--- a/Tests/Ctl/JobCommandTest.cpp
+++ b/Tests/Ctl/JobCommandTest.cpp
@@ -30,6 +30,7 @@
     Words.push_back("--url");
     Words.push_back(m_Server->address().str());
     std::vector<const char *> Arguments;
+    Arguments.reserve(Words.size());
     for (const std::string &Word : Words)
       Arguments.push_back(Word.c_str());
     return static_cast<CtlExit>(ctlMain(static_cast<int>(Arguments.size()),
--- a/Tests/Entry/BadInputTest.cpp
+++ b/Tests/Entry/BadInputTest.cpp
@@ -95,7 +95,10 @@
 BOOST_AUTO_TEST_CASE(WhenAHeaderHasAControlCharacter) {
   for (const std::string &Value :
        {std::string("a\0b", 3), std::string("a\x01"), std::string("\x7f")}) {
-    write(post(Jobs, jobOf(1), Team + "X-Note: " + Value + "\r\n"));
+    std::string Headers = Team + "X-Note: ";
+    Headers += Value;
+    Headers += "\r\n";
+    write(post(Jobs, jobOf(1), Headers));
     BOOST_TEST(expect(400, "bad-request") == "not_run");
   }
   expectConnectionLives();
--- a/Tests/Node/JobServiceTest.cpp
+++ b/Tests/Node/JobServiceTest.cpp
@@ -22,8 +22,8 @@
   }
   bool knows(const std::string &) const { return m_KnowsJob; }
   std::optional<bool> storesJobs() const { return m_StoresJobs; }
-  void call(LedgerCallKind Kind, const std::string &, JobRequest, double,
-            LedgerCalls::Done Done) {
+  void call(LedgerCallKind Kind, const std::string &, const JobRequest &,
+            double, LedgerCalls::Done Done) {
     m_LedgerCalls.push_back(Kind);
     m_Told = std::move(Done);
   }
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -200,6 +200,21 @@
   BOOST_TEST(startsInAll() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AgainAfterItHadGivenThePartitionsUp, OneNode) {
+  auto First = submitStored(0, JobA, 1);
+  BOOST_REQUIRE(until([&] { return state(0, JobA) == "completed"; }));
+  store().setMood(FakeStore::Mood::Refusing);
+  loggedOf(0, "", "partitions_given_up", "parts");
+  store().setMood(FakeStore::Mood::Serving);
+  BOOST_TEST(until([&] {
+    auto Again = submitStored(0, JobB, 1);
+    until([&] { return Again->m_Answer.has_value(); });
+    return Again->has(200);
+  }));
+  BOOST_TEST(until([&] { return state(0, JobB) == "completed"; }));
+  BOOST_TEST(state(0, JobA) == "completed");
+}
+
 BOOST_FIXTURE_TEST_CASE(AndCancelsThem, ThreeNodes) {
   for (std::size_t I = 0; I < 4; ++I)
     executor(I).behaviour().m_Hangs = true;
--- a/include/auburnhub/Node/JobKeeper.h
+++ b/include/auburnhub/Node/JobKeeper.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,10 @@
   void note();
   void join();
   void onJoined(TimePoint SentAt, const absl::StatusOr<JobLogMembership> &Now);
+  /// Leaves the group and joins it again, for a higher generation: under the
+  /// one at hand an append of a partition that was given up may still be on its
+  /// way.
+  void rejoin();
   void take(const JobLogMembership &Given);
   void open(std::uint32_t Part, LedgerEpoch Epoch);
   void closeAll();
@@ -76,6 +81,8 @@
   bool m_Draining = false;
   bool m_Lost = false; ///< The last join failed.
   LedgerEpoch m_Generation = 0;
+  /// The generation under which all partitions were given up, until the next.
+  std::optional<LedgerEpoch> m_GivenUpUnder;
   TimePoint m_Confirmed; ///< When the last join that succeeded was sent.
   std::map<std::uint32_t, std::unique_ptr<Partition>> m_Partitions;
   std::vector<std::unique_ptr<Partition>> m_Closing;
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -65,6 +65,11 @@
     if (std::exchange(m_Lost, false))
       m_Log.info("membership_regained", {{"generation", Now->m_Generation}});
     m_Confirmed = SentAt;
+    if (m_GivenUpUnder == Now->m_Generation) {
+      rejoin();
+      return;
+    }
+    m_GivenUpUnder.reset();
     bool GivesUp = std::any_of(
         m_Partitions.begin(), m_Partitions.end(), [&](const auto &Entry) {
           return std::find(Now->m_Parts.begin(), Now->m_Parts.end(),
@@ -83,6 +88,18 @@
                             [this] { join(); });
 }
 
+template <JobLog Log> void JobKeeper<Log>::rejoin() {
+  m_Log.info("joining_anew", {{"generation", m_Generation}});
+  m_Generation = 0;
+  m_Records.leave([this](const absl::Status &Status) {
+    if (!Status.ok())
+      m_Log.warning("leave_failed", {{"detail", failureDetail(Status)}});
+    m_JoinTimer =
+        m_Loop.once(EventLoop::Duration(static_cast<int>(m_Settings.m_JoinMs)),
+                    [this] { join(); });
+  });
+}
+
 template <JobLog Log> void JobKeeper<Log>::take(const JobLogMembership &Given) {
   if (Given.m_Generation != m_Generation)
     m_Log.info("partitions_given",
@@ -143,6 +160,7 @@
     m_Log.warning("partitions_given_up", {{"generation", m_Generation},
                                           {"parts", m_Partitions.size()}});
     closeAll();
+    m_GivenUpUnder = m_Generation;
   }
   for (const auto &[Part, Item] : m_Partitions)
     Item->advance(Fresh);
