Node, Tests: Satisfy the linter

Cause: a defaulted comparison as the order of a map is misread by this linter; a parameter was copied. The contacts of shards are kept by name. No change of behaviour.

--- a/Tests/Platform/FaultyProxyTest.cpp
+++ b/Tests/Platform/FaultyProxyTest.cpp
@@ -28,7 +28,7 @@
     HttpRequest Request;
     Request.m_Path = "/";
     m_Client.call(m_Proxy.address(), Request, EventLoop::Duration(TimeoutMs),
-                  [this](absl::StatusOr<HttpResponse> Response) {
+                  [this](const absl::StatusOr<HttpResponse> &Response) {
                     m_Answer = Response.status();
                   });
   }
--- a/include/auburnhub/Node/ShardReach.h
+++ b/include/auburnhub/Node/ShardReach.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <utility>
 
 namespace auburnhub {
@@ -62,7 +63,7 @@
   Transport &m_Orders;
   std::function<void()> m_Found;
   Log m_Log{"ownership"};
-  std::map<ShardId, Contact> m_Contacts;
+  std::map<std::string, Contact> m_Contacts; ///< By name of the shard.
   /// Callbacks of orders hold this weakly.
   std::shared_ptr<ShardReach *> m_Self;
 };
@@ -70,7 +71,7 @@
 template <WorkerTransport Transport>
 bool ShardReach<Transport>::reaches(TimePoint Now, const ShardId &Shard,
                                     std::span<const WorkerSpec> Workers) {
-  Contact &Last = m_Contacts[Shard];
+  Contact &Last = m_Contacts[Shard.str()];
   if (Last.m_AnsweredAt &&
       millisecondsBetween(*Last.m_AnsweredAt, Now) < AnswerCountsMs)
     return !Last.m_WasSilent ||
@@ -104,7 +105,7 @@
                                    Reply.m_Answer != OrderAnswer::NoAnswer;
                    if (!Self || !Answered)
                      return;
-                   Contact &Last = (*Self)->m_Contacts[Shard];
+                   Contact &Last = (*Self)->m_Contacts[Shard.str()];
                    Last.m_AnsweredAt = Now;
                    if (!Last.m_BackSince)
                      Last.m_BackSince = Now;
