Jobs: Log the restart of a worker under its id

The log of an owner did not tell a worker that was silent for a time from one that has restarted. The entry names the incarnation, its clock, and the runs and kept ends that belong to the earlier one.

--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -354,6 +354,13 @@
   m_LastListAt = m_ClockAt;
   m_ProbePauseMs = 0;
   if (m_IncarnationStartMs != Reply.m_IncarnationStartMs) {
+    if (m_IncarnationStartMs != 0)
+      m_Log.info("worker_restarted",
+                 {{"worker", m_Spec.m_Id},
+                  {"incarnation_start_ms", Reply.m_IncarnationStartMs},
+                  {"clock_ms", Reply.m_WorkerClockMs},
+                  {"kept_ends", m_KeptEnds.size()},
+                  {"runs", m_Runs.size()}});
     // The runs are not ended here: the new incarnation may have started some of
     // them. Those that it does not list have ended with the earlier one.
     m_LastEndSeen = 0;
