Jobs: Fields for runs that are lost together with their worker

Prepares the count of the workers that were lost under a task: a run end of its own, the incarnation of a worker, and their place in the records and messages of stored jobs. Nothing sets or reads them yet; peers and records without them decode as before.

--- a/Source/Jobs/Job.cpp
+++ b/Source/Jobs/Job.cpp
@@ -55,8 +55,8 @@
 }
 
 std::string_view runEndName(RunEnd End) {
-  static constexpr std::array<std::string_view, 4> Names = {
-      "done", "failed", "stopped", "lapsed"};
+  static constexpr std::array<std::string_view, 5> Names = {
+      "done", "failed", "stopped", "lapsed", "lost"};
   return Names[static_cast<std::size_t>(End)];
 }
 
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -136,6 +136,7 @@
   Report.m_EndKind = Ended.m_EndKind;
   Report.m_Reason = Ended.m_Reason;
   Report.m_Worker = Ended.m_Worker;
+  Report.m_LostWith = Ended.m_LostWith;
   if (Found != m_Runs.end() && mustBeStored(Ended.m_EndKind)) {
     Found->second.m_Worker = Ended.m_Worker;
     Found->second.m_End = Report;
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -156,11 +156,28 @@
   Failed,  ///< The task or its worker failed.
   Stopped, ///< By an order of the owner.
   Lapsed,  ///< Its lease expired, or its worker no longer runs it.
+  Lost,    ///< Its worker became unreachable or restarted while it ran.
 };
 
-/// Returns "done", "failed", "stopped" or "lapsed".
+/// Returns "done", "failed", "stopped", "lapsed" or "lost".
 std::string_view runEndName(RunEnd End);
 
+/// One life of a worker, from its start to its crash or exit. A worker may
+/// return under the same id, or another one may start at its address.
+struct WorkerIncarnation {
+  std::string m_Worker; ///< Empty: none.
+  std::string m_Address;
+  /// When it started, in milliseconds since 1970; 0 if unknown.
+  std::int64_t m_StartMs = 0;
+  bool operator==(const WorkerIncarnation &) const = default;
+
+  template <typename Visitor> void fields(Visitor &V) {
+    V("worker", m_Worker);
+    V("address", m_Address);
+    V("start", m_StartMs);
+  }
+};
+
 /// A worker as described by its registration.
 struct WorkerSpec {
   std::string m_Id;
@@ -170,6 +187,9 @@
   Resources m_Capacity;
   std::vector<std::string> m_Labels;
   bool m_Leaving = false; ///< Draining; gets no new runs.
+  /// When this incarnation of the worker started, in milliseconds since 1970; 0
+  /// if unknown.
+  std::int64_t m_IncarnationStartMs = 0;
   bool operator==(const WorkerSpec &) const = default;
 
   bool hasLabel(std::string_view Label) const;
--- a/include/auburnhub/Jobs/StoredJob.h
+++ b/include/auburnhub/Jobs/StoredJob.h
@@ -53,12 +53,30 @@
   }
 };
 
+/// A run that ended because its worker became unreachable or restarted.
+struct LostRun {
+  std::uint32_t m_Task = 0;   ///< Index among all tasks of the job.
+  std::uint32_t m_Number = 0; ///< Number of the run.
+  WorkerIncarnation m_On;
+  /// A later incarnation has been seen at the address of the worker.
+  bool m_HasCrashed = false;
+  bool operator==(const LostRun &) const = default;
+
+  template <typename Visitor> void fields(Visitor &V) {
+    V("task", m_Task);
+    V("number", m_Number);
+    V("on", m_On);
+    V("crashed", m_HasCrashed);
+  }
+};
+
 /// The record of a job's progress, written before the end of a run is
 /// acknowledged to its worker.
 struct StoredJobProgress {
   StoredJobState m_State = StoredJobState::Queued;
   std::vector<std::uint32_t> m_Done; ///< Succeeded tasks: indices in the job.
   std::vector<FailedRun> m_Failed;
+  std::vector<LostRun> m_Lost; ///< Of tasks that have not succeeded since.
   std::int64_t m_FinishedAtMs = 0; ///< Wall clock; 0 while not finished.
 
   bool isFinished() const { return m_State >= StoredJobState::Completed; }
@@ -66,6 +84,7 @@
     V("state", m_State);
     V("done", m_Done);
     V("failed", m_Failed);
+    V("lost", m_Lost);
     V("over_at", m_FinishedAtMs);
   }
 };
@@ -82,6 +101,7 @@
   double m_AgeMs = 0; ///< Time since its job was accepted.
   /// Workers on which the task has failed or stalled.
   std::vector<std::string> m_AvoidedWorkers;
+  std::uint32_t m_LostRuns = 0; ///< Runs that ended with their worker.
 
   TaskRef task() const { return {m_Job, m_StepNumber, m_Index}; }
   template <typename Visitor> void fields(Visitor &V) {
@@ -94,6 +114,7 @@
     V("step", m_Step);
     V("age", m_AgeMs);
     V("avoid", m_AvoidedWorkers);
+    V("lost", m_LostRuns);
   }
 };
 
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -295,12 +295,15 @@
   StoredRunEnd m_EndKind = StoredRunEnd::NotRun;
   JobReason m_Reason = JobReason::None;
   std::string m_Worker; ///< Empty if none was assigned.
+  /// Set if the run ended because this worker became unreachable or restarted.
+  WorkerIncarnation m_LostWith;
   template <typename Visitor> void fields(Visitor &V) {
     V("part", m_PartitionId);
     V("run", m_Run);
     V("how", m_EndKind);
     V("reason", m_Reason);
     V("worker", m_Worker);
+    V("lost_with", m_LostWith);
   }
 };
 
