Jobs: Initialize the worker of a run that did not end with it

The compiler rejects the two places that end a stored task without naming the field (-Wmissing-field-initializers); with a default initializer they build.

--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -50,7 +50,7 @@
   JobReason m_Reason = JobReason::None;
   std::string m_Worker; ///< Empty if no worker was ordered to run it.
   /// Set if the run ended because this worker became unreachable or restarted.
-  WorkerIncarnation m_LostWith;
+  WorkerIncarnation m_LostWith = {};
 };
 
 /// A job has finished; the last effect for this job.
