Jobs: Pass the end of a run to the ledger as one structure

The parameters of runEndReported() become LedgerRunEnd, which also carries the worker that was lost together with the run. Nothing reads that field yet; the tests of the ledger pass unchanged.

--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -125,22 +125,20 @@
 }
 
 void JobLedger::runEndReported(TimePoint Now, std::int64_t WallMs,
-                               const std::string &Owner,
-                               const std::string &Worker, const TaskRef &Ref,
-                               std::uint32_t Number, StoredRunEnd Outcome) {
-  ReportedEnd End{Owner, Ref, Number};
-  LedgerJob *Job = find(Ref.m_Job);
+                               const LedgerRunEnd &Report) {
+  ReportedEnd End{Report.m_Owner, Report.m_Task, Report.m_Number};
+  LedgerJob *Job = find(Report.m_Task.m_Job);
   if (Job && Job->m_VisibleState >= StoredJobState::Completed) {
     End.m_Superseded = Job->m_VisibleState == StoredJobState::Completed;
     acknowledge(End);
     return;
   }
-  auto TaskIndex = Job ? taskIndexOf(*Job, Ref) : std::nullopt;
+  auto TaskIndex = Job ? taskIndexOf(*Job, Report.m_Task) : std::nullopt;
   if (!TaskIndex) {
     acknowledge(End);
     return;
   }
-  End.m_Superseded = Number < Job->m_Tasks[*TaskIndex].m_Number;
+  End.m_Superseded = Report.m_Number < Job->m_Tasks[*TaskIndex].m_Number;
   if (Job->m_Tasks[*TaskIndex].m_State == TaskState::Done) {
     acknowledge(End);
     return;
@@ -151,30 +149,30 @@
     recordEnd(*Job, End);
     return;
   }
-  if (Outcome == StoredRunEnd::Done) {
+  if (Report.m_Outcome == StoredRunEnd::Done) {
     handleDone(WallMs, *Job, *TaskIndex, End);
     return;
   }
-  if (Outcome == StoredRunEnd::Failed) {
-    handleFailed(WallMs, *Job, *TaskIndex, End, Worker);
+  if (Report.m_Outcome == StoredRunEnd::Failed) {
+    handleFailed(WallMs, *Job, *TaskIndex, End, Report.m_Worker);
     return;
   }
   acknowledge(End);
   auto &Task = Job->m_Tasks[*TaskIndex];
   bool MayBeAlive =
       Task.m_State == TaskState::Running || Task.m_State == TaskState::InDoubt;
-  if (!MayBeAlive || Task.m_Number != Number)
+  if (!MayBeAlive || Task.m_Number != Report.m_Number)
     return;
-  if (Outcome == StoredRunEnd::InDoubt) {
+  if (Report.m_Outcome == StoredRunEnd::InDoubt) {
     setState(*Job, *TaskIndex, TaskState::InDoubt,
              addMs(Now, m_Parameters.m_WorkerDoubtMs));
     return;
   }
   // The run may have been stopped because it stalled; another worker may be
   // faster.
-  if (Outcome == StoredRunEnd::Over && !Worker.empty())
-    Task.m_AvoidedWorkers.push_back(Worker);
-  if (Outcome == StoredRunEnd::Over)
+  if (Report.m_Outcome == StoredRunEnd::Over && !Report.m_Worker.empty())
+    Task.m_AvoidedWorkers.push_back(Report.m_Worker);
+  if (Report.m_Outcome == StoredRunEnd::Over)
     Task.m_Refusals = 0;
   startBackoff(Now, *Job, *TaskIndex);
 }
--- a/Tests/Jobs/LedgerFixture.h
+++ b/Tests/Jobs/LedgerFixture.h
@@ -70,8 +70,9 @@
   }
   void endRun(const StoredTask &Task, StoredRunEnd Outcome,
               const std::string &Owner = "owner") {
-    m_Ledger->runEndReported(m_Now, m_WallMs, Owner, "worker", Task.task(),
-                             Task.m_Number, Outcome);
+    m_Ledger->runEndReported(m_Now, m_WallMs,
+                             {Owner, "worker", Task.task(), Task.m_Number,
+                              Outcome, WorkerIncarnation()});
     collect();
   }
   void advanceTime(double Ms) {
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -43,6 +43,17 @@
   std::size_t m_MaxBatchBytes = 1U << 20U;
 };
 
+/// How a run ended, as reported by the owner of its worker.
+struct LedgerRunEnd {
+  std::string m_Owner;
+  std::string m_Worker; ///< Empty if the run had none.
+  TaskRef m_Task;
+  std::uint32_t m_Number = 0;
+  StoredRunEnd m_Outcome = StoredRunEnd::NotRun;
+  /// Set if the run ended because this worker became unreachable or restarted.
+  WorkerIncarnation m_LostWith;
+};
+
 /// One record to append: the new value of a key, or a tombstone if there is no
 /// value.
 struct LedgerRecord {
@@ -144,11 +155,9 @@
   /// No owner currently accepts the task returned by nextTask(); it is offered
   /// again after a backoff.
   void taskPostponed(TimePoint Now);
-  /// An owner reports how a run ended. Worker is empty if the run had none.
+  /// An owner reports how a run ended; it may report the same end again.
   void runEndReported(TimePoint Now, std::int64_t WallMs,
-                      const std::string &Owner, const std::string &Worker,
-                      const TaskRef &Ref, std::uint32_t Number,
-                      StoredRunEnd Outcome);
+                      const LedgerRunEnd &Report);
   /// An owner reports an active run. An order to stop the run follows unless
   /// the run is, or may be, the current run of its task.
   void runReported(TimePoint Now, const std::string &Owner, const TaskRef &Ref,
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -335,9 +335,9 @@
                                  {"how", storedRunEndName(Msg.m_EndKind)},
                                  {"reason", jobReasonName(Msg.m_Reason)},
                                  {"epoch", m_Claim.m_Epoch}});
-  m_Ledger.runEndReported(EventLoop::now(), EventLoop::wallMilliseconds(), From,
-                          Msg.m_Worker, Msg.m_Run.m_Task, Msg.m_Run.m_Number,
-                          Msg.m_EndKind);
+  m_Ledger.runEndReported(EventLoop::now(), EventLoop::wallMilliseconds(),
+                          {From, Msg.m_Worker, Msg.m_Run.m_Task,
+                           Msg.m_Run.m_Number, Msg.m_EndKind, Msg.m_LostWith});
   advance();
 }
 
