--- a/Tests/Jobs/LedgerFixture.h
+++ b/Tests/Jobs/LedgerFixture.h
@@ -75,6 +75,14 @@
                               Outcome, WorkerIncarnation()});
     collect();
   }
+  /// Ends a run because its worker became unreachable or restarted.
+  void loseRun(const StoredTask &Task, const WorkerIncarnation &On,
+               const std::string &Owner = "owner") {
+    m_Ledger->runEndReported(m_Now, m_WallMs,
+                             {Owner, On.m_Worker, Task.task(), Task.m_Number,
+                              StoredRunEnd::Over, On});
+    collect();
+  }
   void advanceTime(double Ms) {
     m_Now = addMs(m_Now, Ms);
     m_WallMs += static_cast<std::int64_t>(Ms);
