Jobs: Give up a task under which two workers have crashed

Callers saw a stored job whose task crashes its workers started again and again, up to 27 times, while the workers that it took down were missing for the other jobs.

Cause: a run that ends with its worker is reported as over, like one that was stopped. Only failed runs count against the attempts of the queue, so the task was offered again after 30 ms without limit, and nothing of it was stored.

The ledger now keeps the lost runs of each task in the progress of the job, with the incarnation of the worker, and offers the task again only once they are stored; the count survives takeovers and restarts of all nodes. A crash is told from a lost connection by its evidence: a later incarnation at the address of the worker, under whatever id. After two confirmed crashes the job fails. A task that has lost two runs waits for that evidence before the next start, 6 s and twice as long with each further one. Five lost runs end the job without evidence. A run that may be active is not stopped by late evidence; it may succeed, which drops the lost runs of its task. A loss that is reported again, to this keeper or the next, is counted once.

--- a/Source/Jobs/JobLedger.cpp
+++ b/Source/Jobs/JobLedger.cpp
@@ -82,7 +82,8 @@
   Task.m_Until = Until;
   if (State == TaskState::Ready)
     m_Ready.insert(Key);
-  if (State == TaskState::Paused || State == TaskState::InDoubt)
+  if (State == TaskState::Paused || State == TaskState::InDoubt ||
+      State == TaskState::AwaitingVerdict)
     m_TimedTasks.insert({Until, Key});
 }
 
@@ -134,6 +135,7 @@
       Job.m_Progress = std::move(Loaded->second);
     restoreJob(Now, Job);
     unblockTasks(Job, TaskState::InDoubt, Until);
+    restoreLostRuns(Now, Job);
   }
   m_LoadedProgress.clear();
 }
@@ -224,6 +226,7 @@
                        std::int64_t WallMs) {
   Job.m_Progress.m_State = State;
   Job.m_Progress.m_FinishedAtMs = WallMs;
+  stopAwaitingVerdicts(Job);
   m_FinishedJobs.insert({WallMs, Job.m_Record.m_Job.m_Id});
   for (std::uint32_t TaskIndex = 0; TaskIndex < Job.m_Tasks.size();
        ++TaskIndex) {
@@ -320,6 +323,7 @@
   Job.m_UnfinishedOfStep = {};
   Job.m_Progress.m_Done = {};
   Job.m_Progress.m_Failed = {};
+  Job.m_Progress.m_Lost = {};
 }
 
 void JobLedger::onEndStored(TimePoint Now, const ReportedEnd &End) {
@@ -338,7 +342,10 @@
   const auto &Done = Job->m_Progress.m_Done;
   if (std::find(Done.begin(), Done.end(), *TaskIndex) == Done.end()) {
     Task.m_Refusals = 0;
-    startBackoff(Now, *Job, *TaskIndex);
+    if (findLostRun(*Job, *TaskIndex, End.m_Number))
+      retryAfterLoss(Now, *Job, *TaskIndex);
+    else
+      startBackoff(Now, *Job, *TaskIndex);
     return;
   }
   setState(*Job, *TaskIndex, TaskState::Done);
@@ -413,7 +420,11 @@
   while (!m_TimedTasks.empty() && m_TimedTasks.begin()->first <= Now) {
     auto [Until, Key] = *m_TimedTasks.begin();
     const auto &[Priority, Order, Id, TaskIndex] = Key;
-    setState(*m_Jobs.at(Id), TaskIndex, TaskState::Ready);
+    LedgerJob &Job = *m_Jobs.at(Id);
+    if (mustGiveUp(Job, TaskIndex))
+      giveUp(WallMs, Job, TaskIndex);
+    else
+      setState(Job, TaskIndex, TaskState::Ready);
   }
   deleteExpiredJobs(WallMs);
 }
--- /dev/null
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -0,0 +1,204 @@
+#include "auburnhub/Jobs/JobLedger.h"
+
+#include <algorithm>
+#include <cmath>
+
+/// \file
+/// The part of JobLedger that counts the runs which end with their worker and
+/// gives up tasks that crash their workers.
+
+namespace auburnhub {
+
+std::uint32_t JobLedger::countLostRuns(const LedgerJob &Job,
+                                       std::uint32_t TaskIndex) {
+  const auto &Lost = Job.m_Progress.m_Lost;
+  return static_cast<std::uint32_t>(
+      std::count_if(Lost.begin(), Lost.end(), [TaskIndex](const LostRun &Run) {
+        return Run.m_Task == TaskIndex;
+      }));
+}
+
+std::uint32_t JobLedger::countCrashes(const LedgerJob &Job,
+                                      std::uint32_t TaskIndex) {
+  const auto &Lost = Job.m_Progress.m_Lost;
+  return static_cast<std::uint32_t>(
+      std::count_if(Lost.begin(), Lost.end(), [TaskIndex](const LostRun &Run) {
+        return Run.m_Task == TaskIndex && Run.m_HasCrashed;
+      }));
+}
+
+LostRun *JobLedger::findLostRun(LedgerJob &Job, std::uint32_t TaskIndex,
+                                std::uint32_t Number) {
+  auto &Lost = Job.m_Progress.m_Lost;
+  auto Found = std::find_if(Lost.begin(), Lost.end(), [&](const LostRun &Run) {
+    return Run.m_Task == TaskIndex && Run.m_Number == Number;
+  });
+  return Found == Lost.end() ? nullptr : &*Found;
+}
+
+const LostRun *JobLedger::lastLostRun(const LedgerJob &Job,
+                                      std::uint32_t TaskIndex) {
+  const auto &Lost = Job.m_Progress.m_Lost;
+  auto Found =
+      std::find_if(Lost.rbegin(), Lost.rend(), [TaskIndex](const LostRun &Run) {
+        return Run.m_Task == TaskIndex;
+      });
+  return Found == Lost.rend() ? nullptr : &*Found;
+}
+
+bool JobLedger::isEvidenceOfCrash(const LostRun &Run,
+                                  const WorkerIncarnation &Seen) const {
+  auto LatestStartMs = Run.m_ReportedAtMs +
+                       static_cast<std::int64_t>(m_Parameters.m_MaxRestartMs);
+  return Run.m_On.m_Address == Seen.m_Address && Run.m_On.m_StartMs > 0 &&
+         Run.m_On.m_StartMs < Seen.m_StartMs && Seen.m_StartMs <= LatestStartMs;
+}
+
+double JobLedger::verdictWaitMs(const LedgerJob &Job,
+                                std::uint32_t TaskIndex) const {
+  std::uint32_t LostRuns = countLostRuns(Job, TaskIndex);
+  if (LostRuns < 2 || lastLostRun(Job, TaskIndex)->m_HasCrashed)
+    return 0;
+  return m_Parameters.m_CrashVerdictMs * std::exp2(LostRuns - 2);
+}
+
+bool JobLedger::mustGiveUp(const LedgerJob &Job,
+                           std::uint32_t TaskIndex) const {
+  return countLostRuns(Job, TaskIndex) >= m_Parameters.m_MaxLostRuns ||
+         countCrashes(Job, TaskIndex) >= m_Parameters.m_MaxCrashes;
+}
+
+void JobLedger::giveUpIfExhausted(std::int64_t WallMs, LedgerJob &Job,
+                                  std::uint32_t TaskIndex) {
+  TaskState State = Job.m_Tasks[TaskIndex].m_State;
+  // A run that may still be active may also succeed.
+  if (State != TaskState::Running && State != TaskState::InDoubt &&
+      mustGiveUp(Job, TaskIndex))
+    giveUp(WallMs, Job, TaskIndex);
+}
+
+void JobLedger::giveUp(std::int64_t WallMs, LedgerJob &Job,
+                       std::uint32_t TaskIndex) {
+  LedgerTaskGivenUp Effect{taskRefOf(Job, TaskIndex), {}};
+  for (const LostRun &Run : Job.m_Progress.m_Lost)
+    if (Run.m_Task == TaskIndex)
+      Effect.m_Runs.push_back(Run);
+  m_Effects.emplace_back(std::move(Effect));
+  finish(Job, StoredJobState::Failed, WallMs);
+}
+
+void JobLedger::handleLost(TimePoint Now, std::int64_t WallMs, LedgerJob &Job,
+                           std::uint32_t TaskIndex, const ReportedEnd &End,
+                           const WorkerIncarnation &On) {
+  ReportedEnd Lost = End;
+  // The worker has nothing to retain of a run that was lost with it.
+  Lost.m_Superseded = false;
+  recordEnd(Job, Lost);
+  m_NextBatch.m_Urgent = true;
+  const auto &Done = Job.m_Progress.m_Done;
+  bool IsDone = std::find(Done.begin(), Done.end(), TaskIndex) != Done.end();
+  if (IsDone || findLostRun(Job, TaskIndex, End.m_Number))
+    return;
+  Job.m_Progress.m_Lost.push_back(
+      {TaskIndex, End.m_Number, On, WallMs, /*m_HasCrashed=*/false});
+  m_UnconfirmedLosses.emplace(On.m_Address, Job.m_Record.m_Job.m_Id, TaskIndex,
+                              End.m_Number);
+  Job.m_HasStarted = true;
+  LedgerTask &Task = Job.m_Tasks[TaskIndex];
+  Task.m_AvoidedWorkers.push_back(On.m_Worker);
+  bool MayBeAlive =
+      Task.m_State == TaskState::Running || Task.m_State == TaskState::InDoubt;
+  if (MayBeAlive && Task.m_Number == End.m_Number)
+    setState(Job, TaskIndex, TaskState::Ending);
+  else
+    extendWait(Now, Job, TaskIndex);
+  giveUpIfExhausted(WallMs, Job, TaskIndex);
+}
+
+void JobLedger::extendWait(TimePoint Now, LedgerJob &Job,
+                           std::uint32_t TaskIndex) {
+  const LedgerTask &Task = Job.m_Tasks[TaskIndex];
+  double WaitMs = verdictWaitMs(Job, TaskIndex);
+  if (Task.m_State == TaskState::InDoubt)
+    setState(Job, TaskIndex, TaskState::InDoubt,
+             std::max(Task.m_Until, addMs(Now, WaitMs)));
+  bool IsWaiting = Task.m_State == TaskState::Ready ||
+                   Task.m_State == TaskState::Paused ||
+                   Task.m_State == TaskState::AwaitingVerdict;
+  if (IsWaiting && WaitMs > 0)
+    retryAfterLoss(Now, Job, TaskIndex);
+}
+
+void JobLedger::retryAfterLoss(TimePoint Now, LedgerJob &Job,
+                               std::uint32_t TaskIndex) {
+  double WaitMs = verdictWaitMs(Job, TaskIndex);
+  if (WaitMs == 0) {
+    startBackoff(Now, Job, TaskIndex);
+    return;
+  }
+  setState(Job, TaskIndex, TaskState::AwaitingVerdict, addMs(Now, WaitMs));
+  m_Effects.emplace_back(LedgerTaskHeld{taskRefOf(Job, TaskIndex),
+                                        countLostRuns(Job, TaskIndex),
+                                        countCrashes(Job, TaskIndex), WaitMs});
+}
+
+void JobLedger::workerSeen(TimePoint Now, std::int64_t WallMs,
+                           const WorkerIncarnation &Seen) {
+  auto First = m_UnconfirmedLosses.lower_bound({Seen.m_Address, "", 0, 0});
+  auto Last =
+      std::find_if(First, m_UnconfirmedLosses.end(), [&](const auto &Loss) {
+        return std::get<0>(Loss) != Seen.m_Address;
+      });
+  // Copied, because a job that fails removes its losses.
+  const std::vector Losses(First, Last);
+  for (const auto &Loss : Losses) {
+    const auto &[Address, Id, TaskIndex, Number] = Loss;
+    LedgerJob &Job = *m_Jobs.at(Id);
+    LostRun *Run = findLostRun(Job, TaskIndex, Number);
+    if (!Run || Job.m_Progress.isFinished() || !isEvidenceOfCrash(*Run, Seen))
+      continue;
+    m_UnconfirmedLosses.erase(Loss);
+    Run->m_HasCrashed = true;
+    m_NextBatch.m_Progress.insert(Id);
+    m_Effects.emplace_back(
+        LedgerCrashConfirmed{taskRefOf(Job, TaskIndex), *Run, Seen});
+    bool IsAwaited =
+        Job.m_Tasks[TaskIndex].m_State == TaskState::AwaitingVerdict &&
+        lastLostRun(Job, TaskIndex)->m_Number == Number;
+    if (IsAwaited)
+      startBackoff(Now, Job, TaskIndex);
+    giveUpIfExhausted(WallMs, Job, TaskIndex);
+  }
+}
+
+void JobLedger::eraseLostRuns(LedgerJob &Job, std::uint32_t TaskIndex) {
+  std::erase_if(Job.m_Progress.m_Lost, [&](const LostRun &Run) {
+    if (Run.m_Task != TaskIndex)
+      return false;
+    m_UnconfirmedLosses.erase({Run.m_On.m_Address, Job.m_Record.m_Job.m_Id,
+                               Run.m_Task, Run.m_Number});
+    return true;
+  });
+}
+
+void JobLedger::stopAwaitingVerdicts(const LedgerJob &Job) {
+  for (const LostRun &Run : Job.m_Progress.m_Lost)
+    m_UnconfirmedLosses.erase({Run.m_On.m_Address, Job.m_Record.m_Job.m_Id,
+                               Run.m_Task, Run.m_Number});
+}
+
+void JobLedger::restoreLostRuns(TimePoint Now, LedgerJob &Job) {
+  if (Job.m_Progress.isFinished())
+    return;
+  std::erase_if(Job.m_Progress.m_Lost, [&](const LostRun &Run) {
+    return Run.m_Task >= Job.m_Tasks.size();
+  });
+  for (const LostRun &Run : Job.m_Progress.m_Lost) {
+    if (!Run.m_HasCrashed)
+      m_UnconfirmedLosses.emplace(Run.m_On.m_Address, Job.m_Record.m_Job.m_Id,
+                                  Run.m_Task, Run.m_Number);
+    extendWait(Now, Job, Run.m_Task);
+  }
+}
+
+} // namespace auburnhub
--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -40,6 +40,7 @@
   Result.m_Step = Request.m_Steps[Ref.m_Step];
   Result.m_AgeMs = millisecondsBetween(Job.m_Received, Now);
   Result.m_AvoidedWorkers = Job.m_Tasks[TaskIndex].m_AvoidedWorkers;
+  Result.m_LostRuns = countLostRuns(Job, TaskIndex);
   return Result;
 }
 
@@ -81,6 +82,7 @@
   Task.m_Number = End.m_Number;
   Job.m_HasStarted = true;
   Done.push_back(TaskIndex);
+  eraseLostRuns(Job, TaskIndex);
   setState(Job, TaskIndex, TaskState::Ending);
   auto Step = taskRefOf(Job, TaskIndex).m_Step;
   auto First = Job.m_FirstOfStep[Step];
@@ -157,6 +159,12 @@
     handleFailed(WallMs, *Job, *TaskIndex, End, Report.m_Worker);
     return;
   }
+  bool IsLost = Report.m_Outcome == StoredRunEnd::Over &&
+                !Report.m_LostWith.m_Worker.empty();
+  if (IsLost) {
+    handleLost(Now, WallMs, *Job, *TaskIndex, End, Report.m_LostWith);
+    return;
+  }
   acknowledge(End);
   auto &Task = Job->m_Tasks[*TaskIndex];
   bool MayBeAlive =
--- a/Tests/Jobs/JobLedgerLossesTest.cpp
+++ b/Tests/Jobs/JobLedgerLossesTest.cpp
@@ -19,31 +19,271 @@
                 std::to_string(m_WallMs),
             "10.0.0." + std::to_string(Machine) + ":80", m_WallMs};
   }
-  /// Starts the task on a machine and loses the worker. Returns the worker, or
-  /// none if the task is not offered.
-  WorkerIncarnation loseNextRun(int Machine) {
+  /// Starts the task on a machine and loses the worker. Returns whether the
+  /// task was offered.
+  bool loseNextRun(int Machine) {
     auto Task = start();
     if (!Task)
-      return {};
+      return false;
     WorkerIncarnation On = worker(Machine);
     advanceTime(1500);
     loseRun(*Task, On);
     if (m_Ledger->hasRecords())
       store();
-    return On;
+    return true;
+  }
+  /// A crashed worker returns, under another id.
+  void restartWorker(int Machine) {
+    advanceTime(1800);
+    seeWorker(worker(Machine));
+    if (m_Ledger->hasRecords())
+      store();
+  }
+  bool isInState(StoredJobState State) const {
+    return m_Ledger->state("a") == State;
+  }
+};
+
+/// The task has crashed one worker.
+struct OneCrashFixture : LostWorkersFixture {
+  OneCrashFixture() {
+    BOOST_REQUIRE(loseNextRun(1));
+    restartWorker(1);
+  }
+};
+
+/// Two workers were lost under the task; none of them has returned.
+struct TwoLossesFixture : LostWorkersFixture {
+  TwoLossesFixture() {
+    BOOST_REQUIRE(loseNextRun(1));
+    advanceTime(100);
+    BOOST_REQUIRE(loseNextRun(2));
   }
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(ATaskWhoseWorkersAreLost, LostWorkersFixture)
+BOOST_AUTO_TEST_SUITE(ATaskWhoseWorkersAreLost)
 
-BOOST_AUTO_TEST_CASE(IsNotStartedWithoutLimit) {
+BOOST_FIXTURE_TEST_CASE(IsNotStartedWithoutLimit, LostWorkersFixture) {
   int Starts = 0;
-  for (; Starts < 20 && !loseNextRun(Starts).m_Worker.empty(); ++Starts)
+  for (; Starts < 20 && loseNextRun(Starts); ++Starts)
     advanceTime(60000);
   BOOST_TEST(Starts == 5);
-  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Failed));
+  BOOST_TEST(isInState(StoredJobState::Failed));
+}
+
+BOOST_FIXTURE_TEST_SUITE(ByItsCrashes, OneCrashFixture)
+
+BOOST_AUTO_TEST_CASE(IsStartedAgainOnceWithItsCountOfLostRuns) {
+  auto Task = start();
+  BOOST_REQUIRE(Task.has_value());
+  BOOST_TEST(Task->m_LostRuns == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CrashesNoThirdWorker) {
+  BOOST_REQUIRE(loseNextRun(2));
+  advanceTime(1000);
+  BOOST_TEST(!start().has_value());
+  restartWorker(2);
+  BOOST_TEST(isInState(StoredJobState::Failed));
+  BOOST_REQUIRE(m_GivenUp.size() == 1U);
+  BOOST_TEST(m_GivenUp.front().m_Runs.size() == 2U);
+  advanceTime(60000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(CrashesNoThirdWorkerIfItsKeeperCrashesToo) {
+  takeOver();
+  BOOST_TEST(m_LoadOk);
+  advanceTime(5000);
+  BOOST_REQUIRE(loseNextRun(2));
+  takeOver();
+  advanceTime(5000);
+  BOOST_TEST(!start().has_value());
+  restartWorker(2);
+  BOOST_TEST(isInState(StoredJobState::Failed));
+  advanceTime(60000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(CrashesNoThirdWorkerIfTheCrashIsConfirmedLate) {
+  BOOST_REQUIRE(loseNextRun(2));
+  advanceTime(6500);
+  auto Third = start();
+  BOOST_REQUIRE(Third.has_value());
+  restartWorker(2);
+  BOOST_TEST(m_StoppedRuns.empty());
+  BOOST_TEST(isInState(StoredJobState::Running));
+  endRun(*Third, StoredRunEnd::NotRun);
+  advanceTime(60000);
+  BOOST_TEST(!start().has_value());
+  store();
+  BOOST_TEST(isInState(StoredJobState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(CompletesIfItsActiveRunSucceeds) {
+  BOOST_REQUIRE(loseNextRun(2));
+  advanceTime(6500);
+  auto Third = start();
+  BOOST_REQUIRE(Third.has_value());
+  restartWorker(2);
+  endRun(*Third, StoredRunEnd::Done);
+  store();
+  BOOST_TEST(isInState(StoredJobState::Completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WithoutACrash, TwoLossesFixture)
+
+BOOST_AUTO_TEST_CASE(WaitsForAVerdictAndIsStartedAgain) {
+  BOOST_REQUIRE(m_HeldTasks.size() == 1U);
+  advanceTime(5900);
+  BOOST_TEST(!start().has_value());
+  advanceTime(200);
+  auto Task = start();
+  BOOST_REQUIRE(Task.has_value());
+  BOOST_TEST(Task->m_LostRuns == 2U);
+  endRun(*Task, StoredRunEnd::Done);
+  store();
+  BOOST_TEST(isInState(StoredJobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(WaitsNoLongerThanForTheVerdict) {
+  restartWorker(2);
+  advanceTime(100);
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WaitsLongerWithEachLoss) {
+  advanceTime(6100);
+  BOOST_REQUIRE(loseNextRun(3));
+  advanceTime(11900);
+  BOOST_TEST(!start().has_value());
+  advanceTime(200);
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotFailItsJobForWorkersThatAreBackUnrestarted) {
+  seeWorker({"worker", worker(1).m_Address, 1});
+  seeWorker({"worker", worker(2).m_Address, 1});
+  advanceTime(30000);
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotFailItsJobForWorkersThatRestartMuchLater) {
+  advanceTime(30000);
+  seeWorker(worker(1));
+  seeWorker(worker(2));
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotHeldForEverIfKeepersCrash) {
+  takeOver();
+  advanceTime(6100);
+  BOOST_TEST(start().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AndReportedAgain, LostWorkersFixture)
+
+BOOST_AUTO_TEST_CASE(IsCountedOnce) {
+  auto Task = start();
+  WorkerIncarnation On = worker(1);
+  for (int I = 0; I < 6; ++I) {
+    loseRun(*Task, On);
+    store();
+  }
+  BOOST_TEST(isAcknowledged(*Task));
+  advanceTime(100);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->m_LostRuns == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsCountedByTheNextKeeperIfTheFirstDidNotStoreIt) {
+  auto Task = start();
+  WorkerIncarnation On = worker(1);
+  loseRun(*Task, On);
+  BOOST_TEST(!isAcknowledged(*Task));
+  takeOver();
+  loseRun(*Task, On);
+  store();
+  BOOST_TEST(isAcknowledged(*Task));
+  advanceTime(5000);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->m_LostRuns == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(IsNotCountedAfterItHasSucceeded) {
+  auto Task = start();
+  endRun(*Task, StoredRunEnd::Done);
+  loseRun(*Task, worker(1));
+  store();
+  BOOST_TEST(isInState(StoredJobState::Completed));
+  loseRun(*Task, worker(1));
+  BOOST_TEST(!m_Ledger->hasRecords());
+}
+
+BOOST_AUTO_TEST_CASE(IsCountedWhileItsNextRunIsActive) {
+  auto First = start("unreachable-owner");
+  WorkerIncarnation On = worker(1);
+  m_Ledger->ownerLost(m_Now, "unreachable-owner");
+  advanceTime(4000);
+  auto Second = start("other");
+  BOOST_REQUIRE(Second.has_value());
+  loseRun(*First, On, "unreachable-owner");
+  store();
+  BOOST_TEST(m_StoppedRuns.empty());
+  BOOST_TEST(!start().has_value());
+  loseRun(*Second, worker(2), "other");
+  store();
+  BOOST_REQUIRE(m_HeldTasks.size() == 1U);
+  BOOST_TEST(m_HeldTasks.front().m_LostRuns == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(BesideOthersOfItsJob)
+
+BOOST_FIXTURE_TEST_CASE(StopsThemWhenItIsGivenUp, LedgerFixture) {
+  submit(job("a", 2));
+  store();
+  auto Bad = start();
+  auto Other = start();
+  BOOST_REQUIRE((Bad && Other));
+  for (int I = 0; I < 5; ++I) {
+    BOOST_REQUIRE(Bad.has_value());
+    loseRun(*Bad, {"worker", "10.0.0.1:80", m_WallMs});
+    store();
+    advanceTime(60000);
+    Bad = start();
+  }
+  BOOST_TEST(!Bad.has_value());
+  BOOST_REQUIRE(m_StoppedRuns.size() == 1U);
+  BOOST_TEST((m_StoppedRuns.front().m_Task == Other->task()));
+}
+
+BOOST_FIXTURE_TEST_CASE(IsForgottenWhenItSucceeds, LedgerFixture) {
+  submit(job("a", 2));
+  store();
+  auto First = start();
+  auto Other = start();
+  BOOST_REQUIRE((First && Other));
+  loseRun(*First, {"worker", "10.0.0.1:80", m_WallMs});
+  store();
+  BOOST_TEST(m_Log.at("progress/a").find("10.0.0.1") != std::string::npos);
+  advanceTime(100);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  endRun(*Again, StoredRunEnd::Done);
+  store();
+  BOOST_TEST(m_Log.at("progress/a").find("10.0.0.1") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Jobs/LedgerFixture.h
+++ b/Tests/Jobs/LedgerFixture.h
@@ -83,6 +83,10 @@
                               StoredRunEnd::Over, On});
     collect();
   }
+  void seeWorker(const WorkerIncarnation &Seen) {
+    m_Ledger->workerSeen(m_Now, m_WallMs, Seen);
+    collect();
+  }
   void advanceTime(double Ms) {
     m_Now = addMs(m_Now, Ms);
     m_WallMs += static_cast<std::int64_t>(Ms);
@@ -113,6 +117,10 @@
     m_FinishedJobs[Event.m_Job] = Event.m_State;
   }
 
+  void record(const LedgerCrashConfirmed &) {}
+  void record(const LedgerTaskHeld &Event) { m_HeldTasks.push_back(Event); }
+  void record(const LedgerTaskGivenUp &Event) { m_GivenUp.push_back(Event); }
+
   bool isAcknowledged(const StoredTask &Task) const {
     return std::any_of(m_AcknowledgedEnds.begin(), m_AcknowledgedEnds.end(),
                        [&](const auto &End) {
@@ -138,6 +146,8 @@
   std::vector<LedgerStopRun> m_StoppedRuns;
   std::vector<LedgerEndStored> m_AcknowledgedEnds;
   std::map<std::string, StoredJobState> m_FinishedJobs;
+  std::vector<LedgerTaskHeld> m_HeldTasks;
+  std::vector<LedgerTaskGivenUp> m_GivenUp;
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -35,6 +35,18 @@
   double m_TakeoverDoubtMs = 4000;
   double m_OwnerDoubtMs = 3200;
   double m_WorkerDoubtMs = 1500;
+  /// A task is given up, and its job fails, once this many workers have crashed
+  /// under it, or this many of its runs have ended with their worker for
+  /// whatever reason.
+  std::uint32_t m_MaxCrashes = 2;
+  std::uint32_t m_MaxLostRuns = 5;
+  /// How long a task that has lost two runs waits for evidence that the last
+  /// worker has crashed; doubled with each further lost run. Longer than a
+  /// crashed worker takes to register again.
+  double m_CrashVerdictMs = 6000;
+  /// A worker that starts later than this after the loss of its predecessor is
+  /// no evidence of a crash.
+  double m_MaxRestartMs = 20000;
   /// Maximum number of jobs in the ledger; bounds memory.
   std::size_t m_MaxJobs = 20000;
   /// Maximum records and bytes of one append, well below what the log accepts
@@ -95,8 +107,32 @@
   double m_TookMs = 0;
 };
 
-using LedgerEffect = std::variant<LedgerCallAnswered, LedgerStopRun,
-                                  LedgerEndStored, LedgerJobFinished>;
+/// The worker of a lost run has crashed: a later incarnation was seen at its
+/// address.
+struct LedgerCrashConfirmed {
+  TaskRef m_Task;
+  LostRun m_Run;
+  WorkerIncarnation m_Successor;
+};
+
+/// A task waits for evidence that its last worker has crashed.
+struct LedgerTaskHeld {
+  TaskRef m_Task;
+  std::uint32_t m_LostRuns = 0;
+  std::uint32_t m_Crashes = 0; ///< How many of them are confirmed crashes.
+  double m_HeldForMs = 0;      ///< Maximum time of the wait.
+};
+
+/// A task is given up because of its lost runs; its job fails.
+struct LedgerTaskGivenUp {
+  TaskRef m_Task;
+  std::vector<LostRun> m_Runs;
+};
+
+using LedgerEffect =
+    std::variant<LedgerCallAnswered, LedgerStopRun, LedgerEndStored,
+                 LedgerJobFinished, LedgerCrashConfirmed, LedgerTaskHeld,
+                 LedgerTaskGivenUp>;
 
 /// The stored jobs of one partition, on the node that is its keeper.
 ///
@@ -107,6 +143,11 @@
 /// time: the next one is offered only after the previous one has ended, or
 /// after the doubt period of JobLedgerParameters, during which it may continue
 /// unobserved.
+///
+/// Runs that end with their worker are counted for each task, over changes of
+/// the keeper: a task that crashes its workers must not be started again and
+/// again. A crash is told from a lost connection by the next incarnation of the
+/// worker.
 class JobLedger {
 public:
   JobLedger(const JobLedgerParameters &Parameters, LedgerEpoch Epoch)
@@ -165,6 +206,11 @@
   /// This owner is unreachable; its runs are presumed alive for m_OwnerDoubtMs.
   void ownerLost(TimePoint Now, const std::string &Owner);
 
+  /// This incarnation of a worker is registered. After a takeover, and after an
+  /// end with a lost worker was reported, the known ones must be passed again.
+  void workerSeen(TimePoint Now, std::int64_t WallMs,
+                  const WorkerIncarnation &Seen);
+
   /// Makes tasks ready whose backoff or doubt period has expired, and deletes
   /// finished jobs after their retention time. WallMs is the wall clock.
   void advance(TimePoint Now, std::int64_t WallMs);
@@ -180,13 +226,15 @@
     Ready,
     Paused,  ///< Ready again at m_Until.
     InDoubt, ///< An unobserved run may be alive until m_Until.
+    /// Waits for evidence of a crash; ready at m_Until at the latest.
+    AwaitingVerdict,
     Running,
     Ending, ///< The end of its run is being stored.
     Done,   ///< Its success is stored.
   };
   struct LedgerTask {
     TaskState m_State = TaskState::Blocked;
-    TimePoint m_Until;            ///< End of the state Paused or InDoubt.
+    TimePoint m_Until;            ///< End of a state with a limited time.
     std::string m_Owner;          ///< Owner of its last run.
     std::uint32_t m_Number = 0;   ///< Number of its last run.
     std::uint32_t m_Runs = 0;     ///< Runs started in this epoch.
@@ -254,6 +302,9 @@
   void handleFailed(std::int64_t WallMs, LedgerJob &Job,
                     std::uint32_t TaskIndex, const ReportedEnd &End,
                     const std::string &Worker);
+  void handleLost(TimePoint Now, std::int64_t WallMs, LedgerJob &Job,
+                  std::uint32_t TaskIndex, const ReportedEnd &End,
+                  const WorkerIncarnation &On);
   /// Adds the end and the job's progress to the next batch.
   void recordEnd(LedgerJob &Job, const ReportedEnd &End);
   void acknowledge(const ReportedEnd &End);
@@ -265,6 +316,37 @@
   void onProgressStored(TimePoint Now, const std::string &Id,
                         StoredJobState State);
   void startBackoff(TimePoint Now, LedgerJob &Job, std::uint32_t TaskIndex);
+  // Lost runs.
+  static std::uint32_t countLostRuns(const LedgerJob &Job,
+                                     std::uint32_t TaskIndex);
+  static std::uint32_t countCrashes(const LedgerJob &Job,
+                                    std::uint32_t TaskIndex);
+  /// Returns the run with this number if it was lost, or nullptr.
+  static LostRun *findLostRun(LedgerJob &Job, std::uint32_t TaskIndex,
+                              std::uint32_t Number);
+  /// Returns the lost run that was reported last, or nullptr.
+  static const LostRun *lastLostRun(const LedgerJob &Job,
+                                    std::uint32_t TaskIndex);
+  bool isEvidenceOfCrash(const LostRun &Run,
+                         const WorkerIncarnation &Seen) const;
+  /// Returns how long the task must wait for evidence of a crash, or 0.
+  double verdictWaitMs(const LedgerJob &Job, std::uint32_t TaskIndex) const;
+  /// Returns whether the task has used up its lost runs or crashes.
+  bool mustGiveUp(const LedgerJob &Job, std::uint32_t TaskIndex) const;
+  /// Gives the task up if it must be and no run of it may be active.
+  void giveUpIfExhausted(std::int64_t WallMs, LedgerJob &Job,
+                         std::uint32_t TaskIndex);
+  void giveUp(std::int64_t WallMs, LedgerJob &Job, std::uint32_t TaskIndex);
+  /// Lets a task without a known run wait for evidence, if it must.
+  void extendWait(TimePoint Now, LedgerJob &Job, std::uint32_t TaskIndex);
+  /// Offers the task again after a backoff or after the wait for a verdict.
+  void retryAfterLoss(TimePoint Now, LedgerJob &Job, std::uint32_t TaskIndex);
+  /// Forgets the lost runs of a task that has succeeded.
+  void eraseLostRuns(LedgerJob &Job, std::uint32_t TaskIndex);
+  /// No longer expects evidence of crashes under the tasks of the job.
+  void stopAwaitingVerdicts(const LedgerJob &Job);
+  void restoreLostRuns(TimePoint Now, LedgerJob &Job);
+
   /// Restores the state of a job from its loaded progress.
   void restoreJob(TimePoint Now, LedgerJob &Job);
   /// Frees everything of a finished job that state() does not need.
@@ -279,8 +361,12 @@
   std::map<std::string, StoredJobProgress> m_LoadedProgress;
   std::uint64_t m_LastOrder = 0;
   std::set<ReadyKey> m_Ready;
-  /// Tasks in the state Paused or InDoubt, by the end of that state.
+  /// Tasks in a state with a limited time, by the end of that state.
   std::set<std::pair<TimePoint, ReadyKey>> m_TimedTasks;
+  /// Lost runs without evidence of a crash: address of the worker, job, index
+  /// of the task in the job, number of the run.
+  std::set<std::tuple<std::string, std::string, std::uint32_t, std::uint32_t>>
+      m_UnconfirmedLosses;
   /// Finished jobs, by the wall-clock time of their end in milliseconds.
   std::set<std::pair<std::int64_t, std::string>> m_FinishedJobs;
   Batch m_NextBatch;
--- a/include/auburnhub/Jobs/StoredJob.h
+++ b/include/auburnhub/Jobs/StoredJob.h
@@ -58,6 +58,7 @@
   std::uint32_t m_Task = 0;   ///< Index among all tasks of the job.
   std::uint32_t m_Number = 0; ///< Number of the run.
   WorkerIncarnation m_On;
+  std::int64_t m_ReportedAtMs = 0; ///< Wall clock.
   /// A later incarnation has been seen at the address of the worker.
   bool m_HasCrashed = false;
   bool operator==(const LostRun &) const = default;
@@ -66,6 +67,7 @@
     V("task", m_Task);
     V("number", m_Number);
     V("on", m_On);
+    V("at", m_ReportedAtMs);
     V("crashed", m_HasCrashed);
   }
 };
@@ -76,7 +78,7 @@
   StoredJobState m_State = StoredJobState::Queued;
   std::vector<std::uint32_t> m_Done; ///< Succeeded tasks: indices in the job.
   std::vector<FailedRun> m_Failed;
-  std::vector<LostRun> m_Lost; ///< Of tasks that have not succeeded since.
+  std::vector<LostRun> m_Lost;     ///< Of tasks that have not succeeded since.
   std::int64_t m_FinishedAtMs = 0; ///< Wall clock; 0 while not finished.
 
   bool isFinished() const { return m_State >= StoredJobState::Completed; }
