Tests: Lose workers, and crash them by tasks, in the property test of the ledger

The random events now include workers that crash or are cut off under a run, with another run beside it or not, their next incarnations, repeated reports, and tasks that crash or cut off each worker. Checked: at most five lost runs of a task, none forgotten by a takeover and none counted twice; no third crash under a task whose crashes are known; no job fails without its failed attempts, two crashes or five lost runs; and at the end, without further faults, every job ends, which nothing checked so far.

--- a/Tests/Jobs/JobLedgerPropertyTest.cpp
+++ b/Tests/Jobs/JobLedgerPropertyTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -18,12 +19,18 @@
 /// of the ledger.
 constexpr double MaxUnobservedRunMs = 3000;
 
+/// Machines on which workers run, one incarnation after the other.
+constexpr int Machines = 4;
+
+/// What the first task of a job does to each worker that runs it.
+enum class Harm { None, Crash, CutOff };
+
 /// Drives a ledger, its log, its owners and their workers with random events,
 /// including takeovers, and checks the invariants after each.
 class RandomLedger : public LedgerFixture {
 public:
   void step() {
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 17)) {
     case 0:
     case 1:
       submitJob();
@@ -53,6 +60,17 @@
     case 10:
       endAppend();
       break;
+    case 11:
+    case 12:
+      loseLiveRun();
+      break;
+    case 13:
+    case 14:
+      reportLoss();
+      break;
+    case 15:
+      restartWorker();
+      break;
     default:
       if (*rc::gen::inRange(0, 4) == 0)
         crash();
@@ -61,61 +79,186 @@
     checkInvariants();
   }
 
+  /// Lets everything take its course without further faults, except those of
+  /// harmful tasks. Every job must end.
+  void finish() {
+    m_Crashes.clear();
+    for (int Second = 0; Second < 110; ++Second) {
+      while (auto Task = startTask())
+        RC_ASSERT(m_Crashes[*Task] < JobLedgerParameters().m_MaxCrashes);
+      while (!m_LiveRuns.empty())
+        endRun(m_LiveRuns.begin());
+      for (const EndedRun &Report : std::vector(m_EndedRuns))
+        reportEnd(Report);
+      for (const Loss &Lost : std::vector(m_Losses))
+        reportLoss(Lost);
+      if (m_Ledger->isAppending() || m_Ledger->hasRecords()) {
+        beginAppend();
+        endAppend(/*IsRefused=*/false);
+      }
+      recordAcknowledgedEnds();
+      checkInvariants();
+      restartWorkers();
+      advanceTime(1000);
+    }
+    for (const std::string &Id : m_AcceptedJobs) {
+      auto State = m_Ledger->state(Id);
+      RC_ASSERT(!State || *State >= StoredJobState::Completed);
+      RC_ASSERT(m_Harm.at(Id) == Harm::None ||
+                State != StoredJobState::Completed);
+    }
+  }
+
 private:
   using RunKey = std::pair<TaskRef, std::uint32_t>;
   struct Run {
     StoredTask m_Task;
     TimePoint m_LapsesAt = TimePoint::max();
   };
+  using LiveRuns = std::map<RunKey, Run>;
   struct EndedRun {
     StoredTask m_Task;
     StoredRunEnd m_EndKind = StoredRunEnd::Done;
   };
+  struct Loss {
+    StoredTask m_Task;
+    WorkerIncarnation m_On;
+  };
 
   void submitJob() {
     std::string Id = "job" + std::to_string(m_Ids.size());
     m_Ids.push_back(Id);
+    m_Harm[Id] = *rc::gen::element(Harm::None, Harm::None, Harm::None,
+                                   Harm::Crash, Harm::CutOff);
     m_SubmittedJobs[submit(*rc::gen::arbitrary<bool>()
                                ? twoSteps(Id)
                                : job(Id, *rc::gen::inRange(1U, 4U)))] = Id;
   }
+  Harm harmOf(const TaskRef &Task) const {
+    bool IsFirst = Task.m_Step == 0 && Task.m_Index == 0;
+    return IsFirst ? m_Harm.at(Task.m_Job) : Harm::None;
+  }
 
-  void startTask() {
+  std::optional<TaskRef> startTask() {
     auto Task = start();
     if (!Task)
-      return;
+      return std::nullopt;
     // A job whose keeper crashed may be stored although its call was not
     // answered.
     RC_ASSERT(!m_RefusedJobs.contains(Task->m_Job));
     RC_ASSERT(!m_DoneAcknowledged.contains(Task->task()));
     RC_ASSERT(m_FailuresAcknowledged[Task->task()] <
               Task->m_Policy.m_MaxAttempts);
+    RC_ASSERT(m_LossesAcknowledged[Task->task()] <
+              JobLedgerParameters().m_MaxLostRuns);
+    RC_ASSERT(Task->m_LostRuns >= m_LossesAcknowledged[Task->task()]);
+    RC_ASSERT(Task->m_LostRuns <= m_LossesReported[Task->task()].size());
     for (const auto &[Key, LiveRun] : m_LiveRuns)
       RC_ASSERT(!(Key.first == Task->task()));
     RC_ASSERT(Task->m_Number > m_HighestNumber[Task->task()]);
     m_HighestNumber[Task->task()] = Task->m_Number;
     m_LiveRuns[{Task->task(), Task->m_Number}] = {*Task, TimePoint::max()};
+    return Task->task();
   }
 
   /// Ends a run at its worker; its owner has not reported the end yet.
   void endLiveRun() {
     if (m_LiveRuns.empty())
       return;
-    auto It = m_LiveRuns.begin();
-    std::advance(It, *rc::gen::inRange<std::size_t>(0, m_LiveRuns.size()));
+    auto It = anyLiveRun();
+    if (harmOf(It->first.first) != Harm::None) {
+      endRun(It);
+      return;
+    }
     auto Outcome = *rc::gen::element(StoredRunEnd::Done, StoredRunEnd::Done,
                                      StoredRunEnd::Failed, StoredRunEnd::Over);
     m_EndedRuns.push_back({It->second.m_Task, Outcome});
     m_LiveRuns.erase(It);
   }
 
+  /// Ends a run as its task would end it.
+  void endRun(LiveRuns::iterator It) {
+    Harm ByTask = harmOf(It->first.first);
+    if (ByTask != Harm::None) {
+      loseRuns(It, ByTask == Harm::Crash);
+      return;
+    }
+    m_EndedRuns.push_back({It->second.m_Task, StoredRunEnd::Done});
+    m_LiveRuns.erase(It);
+  }
+
+  LiveRuns::iterator anyLiveRun() {
+    auto It = m_LiveRuns.begin();
+    std::advance(It, *rc::gen::inRange<std::size_t>(0, m_LiveRuns.size()));
+    return It;
+  }
+
+  /// Loses the worker of a run by a crash or a broken connection.
+  void loseLiveRun() {
+    if (!m_LiveRuns.empty())
+      loseRuns(anyLiveRun(), *rc::gen::arbitrary<bool>());
+  }
+
+  /// Loses the worker of a run, and sometimes another run on it.
+  void loseRuns(LiveRuns::iterator It, bool IsCrash) {
+    int Machine = *rc::gen::inRange(0, Machines);
+    auto Lose = [&](LiveRuns::iterator Run) {
+      m_Losses.push_back({Run->second.m_Task, incarnation(Machine)});
+      m_Crashes[Run->first.first] += IsCrash ? 1 : 0;
+      m_LiveRuns.erase(Run);
+    };
+    Lose(It);
+    if (!m_LiveRuns.empty() && *rc::gen::arbitrary<bool>())
+      Lose(anyLiveRun());
+    if (IsCrash)
+      m_CrashedMachines.insert(Machine);
+  }
+
+  WorkerIncarnation incarnation(int Machine) const {
+    auto Started = m_StartedAtMs.find(Machine);
+    return {"worker", "10.0.0." + std::to_string(Machine) + ":80",
+            Started == m_StartedAtMs.end() ? 1 : Started->second};
+  }
+
+  void restartWorker() {
+    if (!m_CrashedMachines.empty())
+      restartWorker(*rc::gen::elementOf(m_CrashedMachines));
+  }
+  void restartWorkers() {
+    while (!m_CrashedMachines.empty())
+      restartWorker(*m_CrashedMachines.begin());
+  }
+  void restartWorker(int Machine) {
+    m_CrashedMachines.erase(Machine);
+    m_StartedAtMs[Machine] =
+        std::max(m_WallMs, incarnation(Machine).m_StartMs + 1);
+    seeWorker(incarnation(Machine));
+  }
+  void seeAllWorkers() {
+    for (int Machine = 0; Machine < Machines; ++Machine)
+      seeWorker(incarnation(Machine));
+  }
+
+  /// Reports a lost run at an owner. The owner repeats the report until it is
+  /// acknowledged.
+  void reportLoss() {
+    if (!m_Losses.empty())
+      reportLoss(*rc::gen::elementOf(m_Losses));
+  }
+  void reportLoss(const Loss &Lost) {
+    m_LossesReported[Lost.m_Task.task()][Lost.m_Task.m_Number] = Lost.m_On;
+    loseRun(Lost.m_Task, Lost.m_On);
+    seeAllWorkers();
+  }
+
   /// Reports an end at an owner. The owner may repeat the report until the end
   /// is acknowledged.
   void reportEnd() {
-    if (m_EndedRuns.empty())
-      return;
-    EndedRun Report = *rc::gen::elementOf(m_EndedRuns);
-    endRun(Report.m_Task, Report.m_EndKind);
+    if (!m_EndedRuns.empty())
+      reportEnd(*rc::gen::elementOf(m_EndedRuns));
+  }
+  void reportEnd(const EndedRun &Report) {
+    LedgerFixture::endRun(Report.m_Task, Report.m_EndKind);
     if (Report.m_EndKind == StoredRunEnd::Over)
       std::erase_if(m_EndedRuns, [&](const EndedRun &E) {
         return E.m_Task.task() == Report.m_Task.task() &&
@@ -129,10 +272,11 @@
     m_InFlight = m_Ledger->takeBatch();
   }
 
-  void endAppend() {
+  void endAppend() { endAppend(*rc::gen::inRange(0, 4) == 0); }
+  void endAppend(bool IsRefused) {
     if (!m_Ledger->isAppending())
       return;
-    if (*rc::gen::inRange(0, 4) == 0) {
+    if (IsRefused) {
       m_Ledger->appendRefused();
     } else {
       write();
@@ -152,6 +296,7 @@
           std::min(LiveRun.m_LapsesAt, addMs(m_Now, MaxUnobservedRunMs));
     takeOver();
     RC_ASSERT(m_LoadOk);
+    seeAllWorkers();
     // The new keeper reaches some owners, which report their runs.
     for (auto &[Key, LiveRun] : m_LiveRuns)
       if (*rc::gen::arbitrary<bool>()) {
@@ -180,7 +325,12 @@
   /// Records acknowledged ends. A worker discards them, so the ledger must not
   /// lose them.
   void recordAcknowledgedEnds() {
-    for (const LedgerEndStored &End : std::exchange(m_AcknowledgedEnds, {}))
+    for (const LedgerEndStored &End : std::exchange(m_AcknowledgedEnds, {})) {
+      m_LossesAcknowledged[End.m_Task] +=
+          std::erase_if(m_Losses, [&](const Loss &Lost) {
+            return Lost.m_Task.task() == End.m_Task &&
+                   Lost.m_Task.m_Number == End.m_Number;
+          });
       for (const EndedRun &Report : m_EndedRuns) {
         if (Report.m_Task.task() != End.m_Task ||
             Report.m_Task.m_Number != End.m_Number)
@@ -191,6 +341,37 @@
             m_CountedFailures.insert({End.m_Task, End.m_Number}).second)
           ++m_FailuresAcknowledged[End.m_Task];
       }
+    }
+  }
+
+  /// Returns whether a job may fail because of the lost runs of its tasks.
+  bool hasCauseToFail(const std::string &Id) const {
+    JobLedgerParameters Limits;
+    return std::any_of(
+        m_LossesReported.begin(), m_LossesReported.end(),
+        [&](const auto &Entry) {
+          const auto &[Task, Losses] = Entry;
+          auto Crashes =
+              std::count_if(Losses.begin(), Losses.end(), [&](const auto &L) {
+                return hasRestarted(L.second);
+              });
+          return Task.m_Job == Id && (Losses.size() >= Limits.m_MaxLostRuns ||
+                                      Crashes >= Limits.m_MaxCrashes);
+        });
+  }
+  bool hasRestarted(const WorkerIncarnation &Worker) const {
+    for (int Machine = 0; Machine < Machines; ++Machine)
+      if (incarnation(Machine).m_Address == Worker.m_Address)
+        return incarnation(Machine).m_StartMs > Worker.m_StartMs;
+    return false;
+  }
+  bool hasFailedAttempts(const std::string &Id) const {
+    std::map<TaskRef, std::uint32_t> Failures;
+    return std::any_of(
+        m_EndedRuns.begin(), m_EndedRuns.end(), [&](const EndedRun &E) {
+          return E.m_Task.m_Job == Id && E.m_EndKind == StoredRunEnd::Failed &&
+                 ++Failures[E.m_Task.task()] >= E.m_Task.m_Policy.m_MaxAttempts;
+        });
   }
 
   void checkInvariants() {
@@ -199,6 +380,9 @@
     // retention time.
     for (const std::string &Id : m_AcceptedJobs)
       RC_ASSERT(m_Ledger->state(Id).has_value());
+    for (const std::string &Id : m_Ids)
+      if (m_Ledger->state(Id) == StoredJobState::Failed)
+        RC_ASSERT(hasFailedAttempts(Id) || hasCauseToFail(Id));
     for (const std::string &Id : m_Ids)
       if (m_Ledger->state(Id) == StoredJobState::Completed)
         for (const auto &[Key, LiveRun] : m_LiveRuns)
@@ -209,8 +393,17 @@
   std::map<std::uint64_t, std::string> m_SubmittedJobs;
   std::set<std::string> m_AcceptedJobs;
   std::set<std::string> m_RefusedJobs;
-  std::map<RunKey, Run> m_LiveRuns;
+  LiveRuns m_LiveRuns;
   std::vector<EndedRun> m_EndedRuns;
+  std::map<std::string, Harm> m_Harm; ///< By job.
+  /// Lost runs whose report is not acknowledged yet.
+  std::vector<Loss> m_Losses;
+  std::map<TaskRef, std::map<std::uint32_t, WorkerIncarnation>>
+      m_LossesReported; ///< By number of the run.
+  std::map<TaskRef, std::size_t> m_LossesAcknowledged;
+  std::map<int, std::int64_t> m_StartedAtMs; ///< Of restarted workers.
+  std::set<int> m_CrashedMachines;
+  std::map<TaskRef, std::uint32_t> m_Crashes; ///< Cleared by finish().
   std::set<TaskRef> m_DoneAcknowledged;
   std::set<RunKey> m_CountedFailures;
   std::map<TaskRef, std::uint32_t> m_FailuresAcknowledged;
@@ -227,6 +420,7 @@
     int Steps = *rc::gen::inRange(1, 150);
     for (int I = 0; I < Steps; ++I)
       Run.step();
+    Run.finish();
   });
   BOOST_TEST(Passed);
 }
