Platform: Read when an incarnation of a worker started

A worker that returns after a crash could only be recognized by its session. The registration names the start of the incarnation, which shows a restart at the same address also to nodes that do not own the worker. A registration without it is used as before; one of another type comes from another writer and is ignored, like other fields of another type.

--- a/Tests/Platform/DecodingTest.cpp
+++ b/Tests/Platform/DecodingTest.cpp
@@ -44,6 +44,22 @@
   BOOST_TEST(!Spec->m_Leaving);
 }
 
+BOOST_AUTO_TEST_CASE(NamesTheStartOfTheIncarnation) {
+  std::string Restarted = Registration;
+  Restarted.insert(1, R"("born":1700000000123,)");
+  auto Spec = decodeRegistration("i-1", Restarted);
+  BOOST_REQUIRE(Spec.has_value());
+  BOOST_TEST(Spec->m_IncarnationStartMs == 1700000000123);
+  auto Unnamed = decodeRegistration("i-1", Registration);
+  BOOST_REQUIRE(Unnamed.has_value());
+  BOOST_TEST(Unnamed->m_IncarnationStartMs == 0);
+  for (const char *Born : {R"("1700000000123")", "1.5", "null", "[1]"}) {
+    std::string Mistyped = Registration;
+    Mistyped.insert(1, std::string(R"("born":)") + Born + ",");
+    BOOST_TEST(!decodeRegistration("i-1", Mistyped).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ThatCannotBeUsedIsIgnored) {
   BOOST_TEST(!decodeRegistration("i-1", "\xff\xfe").has_value());
   BOOST_TEST(!decodeRegistration("i-1", "{}").has_value());
