Jobs: Report runs that were lost together with their worker

A run whose worker crashed ended as lapsed, like a run that its worker had stopped on its own.

A session now reports a run as lost if every lease of its unreachable worker has expired, or if a later incarnation does not list it, and names the incarnation to which the run was last ordered or which listed it last. That includes runs that the worker never accepted, because the task may crash it before it answers. Runs on a leaving worker end with its exit and have lapsed. The scheduler passes the incarnation on with the end of a stored task; run_ended logs it.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -149,8 +149,12 @@
       m_Jobs.contains(Id) || !Fits || m_Jobs.size() >= m_Parameters.m_MaxJobs;
   if (Refused) {
     m_Effects.emplace_back(
-        StoredTaskEnded{Task.m_Ref, Stored.m_Number, StoredRunEnd::NotRun,
-                        Fits ? JobReason::NoRoom : JobReason::NeverFits, ""});
+        StoredTaskEnded{Task.m_Ref,
+                        Stored.m_Number,
+                        StoredRunEnd::NotRun,
+                        Fits ? JobReason::NoRoom : JobReason::NeverFits,
+                        "",
+                        {}});
     return;
   }
   learnTaskSize(Stored.m_Step.m_TaskResources);
@@ -173,10 +177,11 @@
 }
 
 void JobScheduler::finishStoredTask(ActiveJob &Job, StoredRunEnd Outcome,
-                                    JobReason Reason,
-                                    const std::string &Worker) {
-  m_Effects.emplace_back(StoredTaskEnded{
-      Job.m_Tasks.front().m_Ref, Job.m_StoredNumber, Outcome, Reason, Worker});
+                                    JobReason Reason, const std::string &Worker,
+                                    const WorkerIncarnation &LostWith) {
+  m_Effects.emplace_back(StoredTaskEnded{Job.m_Tasks.front().m_Ref,
+                                         Job.m_StoredNumber, Outcome, Reason,
+                                         Worker, LostWith});
   m_Jobs.erase(Job.m_Request.m_Id);
 }
 
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -93,7 +93,8 @@
   }
 }
 
-void JobScheduler::runEnded(TimePoint Now, RunId Id, RunEnd End) {
+void JobScheduler::runEnded(TimePoint Now, RunId Id, RunEnd End,
+                            const WorkerIncarnation &LostWith) {
   auto Found = m_Runs.find(Id);
   if (Found == m_Runs.end())
     return;
@@ -106,7 +107,7 @@
     ActiveJob &Job = *Owner->second;
     ActiveTask &Task = Job.m_Tasks[Run.m_Task];
     if (Job.m_Stored)
-      onStoredRunEnded(Now, Job, Run.m_Worker, End);
+      onStoredRunEnded(Now, Job, Run.m_Worker, End, LostWith);
     else if (End == RunEnd::Done)
       onTaskDone(Now, Job, Task);
     else if (End == RunEnd::Failed)
@@ -132,7 +133,8 @@
 }
 
 void JobScheduler::onStoredRunEnded(TimePoint Now, ActiveJob &Job,
-                                    const std::string &Worker, RunEnd End) {
+                                    const std::string &Worker, RunEnd End,
+                                    const WorkerIncarnation &LostWith) {
   WorkerRecord *Record = m_Workers.find(Worker);
   if (End == RunEnd::Failed && Record &&
       Job.m_Tasks.front().m_AvoidedWorkers.empty())
@@ -142,7 +144,7 @@
     Outcome = StoredRunEnd::Done;
   if (End == RunEnd::Failed)
     Outcome = StoredRunEnd::Failed;
-  finishStoredTask(Job, Outcome, JobReason::None, Worker);
+  finishStoredTask(Job, Outcome, JobReason::None, Worker, LostWith);
 }
 
 void JobScheduler::onTaskDone(TimePoint Now, ActiveJob &Job, ActiveTask &Task) {
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -320,6 +320,17 @@
   BOOST_TEST((m_EndedStoredTasks[0].m_EndKind == StoredRunEnd::InDoubt));
 }
 
+BOOST_AUTO_TEST_CASE(AndNamesTheWorkerItWasLostWith) {
+  addWorker("w");
+  submitStored(0);
+  accept(m_Starts[0].m_Run);
+  end(m_Starts[0].m_Run, RunEnd::Lost, {"w", "10.0.0.1:1", 5});
+  BOOST_REQUIRE(m_EndedStoredTasks.size() == 1U);
+  BOOST_TEST((m_EndedStoredTasks[0].m_EndKind == StoredRunEnd::Over));
+  BOOST_TEST((m_EndedStoredTasks[0].m_LostWith ==
+              WorkerIncarnation{"w", "10.0.0.1:1", 5}));
+}
+
 BOOST_AUTO_TEST_CASE(OnAnotherWorkerThanTheOneItFailedOn) {
   addWorker("a");
   addWorker("b");
--- a/Tests/Jobs/SchedulerFixture.h
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -56,8 +56,8 @@
     collect();
   }
 
-  void end(RunId Run, RunEnd End) {
-    m_Scheduler.runEnded(m_Now, Run, End);
+  void end(RunId Run, RunEnd End, const WorkerIncarnation &LostWith = {}) {
+    m_Scheduler.runEnded(m_Now, Run, End, LostWith);
     collect();
   }
 
--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -54,17 +54,35 @@
     Events.m_Refused = [this](RunId Run, RefusalReason Reason) {
       m_Refused[Run] = Reason;
     };
-    Events.m_Ended = [this](RunId Run, RunEnd End) { m_Ended[Run] = End; };
+    Events.m_Ended = [this](RunId Run, RunEnd End,
+                            const WorkerIncarnation &LostWith) {
+      m_Ended[Run] = End;
+      m_LostWith[Run] = LostWith;
+    };
     Events.m_Progress = [](RunId, double) {};
     Events.m_StrayEnd = [this](const TaskRef &, std::uint32_t, RunEnd) {
       return m_KeepsStrayEnds;
     };
     Events.m_Fenced = [this] { m_Fenced = true; };
-    m_Session.emplace(m_Loop, m_Orders, m_Chart, m_Settings, m_Answers,
-                      WorkerSpec(), FencingToken{7}, Events);
+    WorkerSpec Spec;
+    Spec.m_Id = "w";
+    Spec.m_Address = "10.0.0.1:1";
+    m_Session.emplace(m_Loop, m_Orders, m_Chart, m_Settings, m_Answers, Spec,
+                      FencingToken{7}, Events);
     m_Session->begin();
   }
 
+  /// Lets every lease expire while the worker answers nothing.
+  void loseWorker() {
+    m_Settings.m_SilentMs = 0;
+    for (int Attempt = 0; Attempt < 200 && !m_Session->idle(); ++Attempt) {
+      if (!m_Orders.m_Renewals.empty())
+        answerRenewal(RenewReply());
+      m_Loop.io().restart();
+      m_Loop.io().run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+
   static RenewReply makeReply(std::vector<ListedRun> Running = {},
                               std::vector<ListedEnd> Ended = {},
                               std::int64_t IncarnationStartMs = 1) {
@@ -132,6 +150,7 @@
   std::vector<RunId> m_Accepted;
   std::map<RunId, RefusalReason> m_Refused;
   std::map<RunId, RunEnd> m_Ended;
+  std::map<RunId, WorkerIncarnation> m_LostWith;
 };
 
 } // namespace
@@ -199,7 +218,7 @@
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
 }
 
-BOOST_AUTO_TEST_CASE(LapsesWhenANewIncarnationAnswers) {
+BOOST_AUTO_TEST_CASE(IsLostWhenANewIncarnationAnswersWithoutIt) {
   answerRenewal(makeReply());
   m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
@@ -207,7 +226,20 @@
   answerRenewal(makeReply({{m_Task, 1, 20}}));
   answerRenewal(makeReply({}, {}, 2));
   BOOST_REQUIRE(m_Ended.contains(1));
-  BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
+  BOOST_TEST((m_LostWith.at(1) == WorkerIncarnation{"w", "10.0.0.1:1", 1}));
+}
+
+BOOST_AUTO_TEST_CASE(IsLostWithTheIncarnationThatListedItLast) {
+  answerRenewal(makeReply());
+  // The worker has restarted while it was idle.
+  m_Session->start(1, m_Task, 1, "spec");
+  answerStart(OrderAnswer::Accepted);
+  answerRenewal(makeReply({{m_Task, 1, 20}}, {}, 2));
+  answerRenewal(makeReply({}, {}, 3));
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
+  BOOST_TEST(m_LostWith.at(1).m_StartMs == 2);
 }
 
 BOOST_AUTO_TEST_CASE(GoesOnIfTheNewIncarnationHasStartedIt) {
@@ -328,6 +360,20 @@
   BOOST_TEST(m_Ended.empty());
   answerRenewal(makeReply());
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+  BOOST_TEST(m_LostWith.at(1).m_Worker.empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsLostWhenANewIncarnationConfirmsTheStop) {
+  answerRenewal(makeReply());
+  m_Session->start(1, m_Task, 1, "spec");
+  leaveStartUnanswered();
+  answerRenewal(makeReply({}, {}, 2));
+  answerStop(OrderAnswer::Accepted);
+  answerRenewal(makeReply({}, {}, 2));
+  answerRenewal(makeReply({}, {}, 2));
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
+  BOOST_TEST(m_LostWith.at(1).m_StartMs == 1);
 }
 
 BOOST_AUTO_TEST_CASE(StopsItAgainWhenTheStopIsNotAnsweredEither) {
@@ -416,18 +462,40 @@
 BOOST_AUTO_TEST_CASE(EndsItsRunsWhenEveryLeaseHasExpired) {
   m_Settings.m_LeaseMs = 20;
   m_Settings.m_OrderTimeoutMs = 10;
-  m_Settings.m_SilentMs = 0;
   answerRenewal(makeReply());
   m_Session->start(1, m_Task, 1, "spec");
   answerStart(OrderAnswer::Accepted);
-  for (int Attempt = 0; Attempt < 200 && !m_Ended.contains(1); ++Attempt) {
-    if (!m_Orders.m_Renewals.empty())
-      answerRenewal(RenewReply());
-    m_Loop.io().restart();
-    m_Loop.io().run_one_for(std::chrono::milliseconds(20));
-  }
+  loseWorker();
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
+  BOOST_TEST((m_LostWith.at(1) == WorkerIncarnation{"w", "10.0.0.1:1", 1}));
+}
+
+BOOST_AUTO_TEST_CASE(ReportsARunLostThatItNeverAccepted) {
+  m_Settings.m_LeaseMs = 20;
+  m_Settings.m_OrderTimeoutMs = 10;
+  answerRenewal(makeReply());
+  m_Session->start(1, m_Task, 1, "spec");
+  leaveStartUnanswered();
+  loseWorker();
+  BOOST_REQUIRE(m_Ended.contains(1));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
+  BOOST_TEST(m_LostWith.at(1).m_StartMs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsARunLapsedIfItWasLeaving) {
+  m_Settings.m_LeaseMs = 20;
+  m_Settings.m_OrderTimeoutMs = 10;
+  answerRenewal(makeReply());
+  m_Session->start(1, m_Task, 1, "spec");
+  answerStart(OrderAnswer::Accepted);
+  WorkerSpec Leaving = m_Session->spec();
+  Leaving.m_Leaving = true;
+  m_Session->update(Leaving);
+  loseWorker();
   BOOST_REQUIRE(m_Ended.contains(1));
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lapsed));
+  BOOST_TEST(m_LostWith.at(1).m_Worker.empty());
 }
 
 BOOST_AUTO_TEST_CASE(ExtendsNoLeaseUntilItAnswers) {
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -116,7 +116,9 @@
   // Runs.
   void runAccepted(TimePoint Now, RunId Run);
   void runRefused(TimePoint Now, RunId Run, RefusalReason Reason);
-  void runEnded(TimePoint Now, RunId Run, RunEnd End);
+  /// LostWith names the worker of a run that was lost.
+  void runEnded(TimePoint Now, RunId Run, RunEnd End,
+                const WorkerIncarnation &LostWith = {});
   /// The run's worker now obeys another owner. No more events of the run
   /// follow, and its job is abandoned.
   void runAbandoned(TimePoint Now, RunId Run);
@@ -214,7 +216,8 @@
               JobReason Reason);
   /// Reports the end of the run of a stored task.
   void finishStoredTask(ActiveJob &Job, StoredRunEnd Outcome, JobReason Reason,
-                        const std::string &Worker);
+                        const std::string &Worker,
+                        const WorkerIncarnation &LostWith = {});
   std::uint32_t tasksOfStepOn(const ActiveTask &Task,
                               const std::string &Worker) const;
   std::unique_ptr<ActiveJob> makeJob(TimePoint Now, JobRequest Request) const;
@@ -230,7 +233,8 @@
   void checkDeadlines(TimePoint Now);
   void releaseRun(RunId Id);
   void onStoredRunEnded(TimePoint Now, ActiveJob &Job,
-                        const std::string &Worker, RunEnd End);
+                        const std::string &Worker, RunEnd End,
+                        const WorkerIncarnation &LostWith);
   void onTaskDone(TimePoint Now, ActiveJob &Job, ActiveTask &Task);
   void onTaskFailed(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
                     const std::string &Worker);
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -75,7 +75,8 @@
   std::function<void(RunId)> m_Accepted;
   /// The run has not started and never will.
   std::function<void(RunId, RefusalReason)> m_Refused;
-  std::function<void(RunId, RunEnd)> m_Ended;
+  /// LostWith names the worker if the run was lost, and is empty otherwise.
+  std::function<void(RunId, RunEnd, const WorkerIncarnation &LostWith)> m_Ended;
   std::function<void(RunId, double Percent)> m_Progress;
   /// The worker lists the end of a run that this session did not order. Returns
   /// whether the worker must keep the end until WorkerSession::acknowledge().
@@ -92,9 +93,11 @@
 /// listed its end, or does not list the run in a complete answer requested
 /// after the run was accepted or its stop was confirmed, or every lease that
 /// the worker may hold has expired. The same holds when the worker has
-/// restarted, because the new incarnation may have started the run. Runs that
-/// the owner did not order are stopped. The states are defined by the chart
-/// worker-session.yaml.
+/// restarted, because the new incarnation may have started the run. A run that
+/// ends because of an expired lease or a restart is lost, accepted or not,
+/// because the task may have crashed the worker; on a leaving worker it has
+/// lapsed. Runs that the owner did not order are stopped. The states are
+/// defined by the chart worker-session.yaml.
 ///
 /// Orders are idempotent for a worker, so an unanswered one is sent again at
 /// once, with the same run number, unless the path to the worker is slow. Only
@@ -164,6 +167,8 @@
     bool m_StopPending = false; ///< A stop order is not answered yet.
     std::optional<TimePoint> m_StopConfirmed;
     TimePoint m_ConfirmedAt; ///< When the run was accepted or first listed.
+    /// The worker as known when the run was last ordered or listed.
+    WorkerIncarnation m_On;
   };
 
   /// Returns the end of a lease granted now, on the worker's clock.
@@ -201,6 +206,13 @@
   /// Stops listed runs that this session did not order. Returns whether such
   /// runs were listed.
   bool stopStrayRuns(const RenewReply &Reply);
+  WorkerIncarnation incarnation() const {
+    return {m_Spec.m_Id, m_Spec.m_Address, m_IncarnationStartMs};
+  }
+  /// Returns how runs end that have ended together with the worker.
+  RunEnd lossKind() const {
+    return m_Spec.m_Leaving ? RunEnd::Lapsed : RunEnd::Lost;
+  }
   void endRun(RunId Id, RunEnd End);
   void endAll(RunEnd End);
   void onFenced();
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -141,6 +141,7 @@
   SessionRun &Run = m_Runs.at(Id);
   if (Run.m_StartAttempts++ == 0)
     Run.m_FirstSentAt = Now;
+  Run.m_On = incarnation();
   extendLeaseEnd(Now);
   StartOrder Order{Run.m_Task, Run.m_Number, Run.m_Spec, m_Token,
                    leaseUntil(Now)};
@@ -448,11 +449,13 @@
       continue;
     Listed.push_back(Id);
     SessionRun &Run = m_Runs.at(Id);
+    if (Run.m_On.m_StartMs != m_IncarnationStartMs)
+      Run.m_On = incarnation();
     if (!Run.m_StopRequested)
       markAccepted(Id);
     m_Events.m_Progress(Id, Running.m_Percent);
   }
-  std::vector<RunId> EndedRuns;
+  std::vector<std::pair<RunId, RunEnd>> EndedRuns;
   for (const auto &[Id, Run] : m_Runs) {
     if (std::find(Listed.begin(), Listed.end(), Id) != Listed.end())
       continue;
@@ -463,10 +466,12 @@
     bool IsStopped = !Reply.m_HasMoreEnds && Run.m_StopConfirmed &&
                      *Run.m_StopConfirmed < SentAt;
     if (IsMissing || IsStopped)
-      EndedRuns.push_back(Id);
+      EndedRuns.emplace_back(Id, Run.m_On.m_StartMs == m_IncarnationStartMs
+                                     ? RunEnd::Lapsed
+                                     : lossKind());
   }
-  for (RunId Id : EndedRuns)
-    endRun(Id, RunEnd::Lapsed);
+  for (auto [Id, End] : EndedRuns)
+    endRun(Id, End);
 }
 
 template <WorkerTransport Transport>
@@ -496,7 +501,7 @@
   if (Weak.expired() || m_Closed)
     return;
   if (Now >= m_LeaseEnd)
-    endAll(RunEnd::Lapsed);
+    endAll(lossKind());
   scheduleProbe();
 }
 
@@ -512,8 +517,9 @@
 
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::endRun(RunId Id, RunEnd End) {
-  m_Runs.erase(Id);
-  m_Events.m_Ended(Id, End);
+  auto Ended = m_Runs.extract(Id);
+  bool IsLost = End == RunEnd::Lost;
+  m_Events.m_Ended(Id, End, IsLost ? Ended.mapped().m_On : WorkerIncarnation());
 }
 
 template <WorkerTransport Transport>
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -99,7 +99,7 @@
   }
   void armTimer();
   void dropIdleWorkers();
-  void logRunEnd(RunId Run, RunEnd End);
+  void logRunEnd(RunId Run, RunEnd End, const WorkerIncarnation &LostWith);
 
   struct RunRecord {
     std::string m_Worker;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -99,9 +99,10 @@
     m_Scheduler.runRefused(EventLoop::now(), Run, Reason);
     scheduleEffects();
   };
-  Events.m_Ended = [this](RunId Run, RunEnd End) {
-    logRunEnd(Run, End);
-    m_Scheduler.runEnded(EventLoop::now(), Run, End);
+  Events.m_Ended = [this](RunId Run, RunEnd End,
+                          const WorkerIncarnation &LostWith) {
+    logRunEnd(Run, End, LostWith);
+    m_Scheduler.runEnded(EventLoop::now(), Run, End, LostWith);
     scheduleEffects();
   };
   Events.m_Progress = [this](RunId Run, double Percent) {
@@ -120,7 +121,8 @@
 }
 
 template <WorkerTransport Transport>
-void ShardHost<Transport>::logRunEnd(RunId Run, RunEnd End) {
+void ShardHost<Transport>::logRunEnd(RunId Run, RunEnd End,
+                                     const WorkerIncarnation &LostWith) {
   auto Found = m_Runs.find(Run);
   if (Found == m_Runs.end())
     return;
@@ -135,7 +137,8 @@
               {"how", runEndName(End)},
               {"took_ms", std::round(TookMs)},
               {"expected_ms", std::round(Found->second.m_ExpectedMs)},
-              {"last_percent", Found->second.m_LastPercent}});
+              {"last_percent", Found->second.m_LastPercent},
+              {"incarnation", LostWith.m_StartMs}});
   m_Runs.erase(Found);
 }
 
