Node: Repeat the report of a lost run to the next keeper

A task may crash its worker while its keeper is lost. The owner reported the end of such a run once and forgot it, so that a takeover at that moment hid the loss from the count that limits the starts of the task.

An owner now keeps the end of a run that was lost with its worker, like one that succeeded or failed, until a keeper has stored it. The worker itself gets no acknowledgement; it has nothing to forget.

WithItsWorkerIsNotForgottenIfTheKeeperIsLost fails without the change: the next keeper gets no report.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -91,7 +91,8 @@
     return;
   std::string Worker = Found->second.m_Worker;
   m_Runs.erase(Found);
-  m_Effects.m_Acknowledge(Worker, Msg);
+  if (!Worker.empty())
+    m_Effects.m_Acknowledge(Worker, Msg);
 }
 
 void StoredRuns::keeperLost(const std::string &Keeper) {
@@ -137,8 +138,11 @@
   Report.m_Reason = Ended.m_Reason;
   Report.m_Worker = Ended.m_Worker;
   Report.m_LostWith = Ended.m_LostWith;
-  if (Found != m_Runs.end() && mustBeStored(Ended.m_EndKind)) {
-    Found->second.m_Worker = Ended.m_Worker;
+  bool IsLost = !Ended.m_LostWith.m_Worker.empty();
+  if (Found != m_Runs.end() && (mustBeStored(Ended.m_EndKind) || IsLost)) {
+    // A lost worker has no list from which the end could be removed.
+    if (!IsLost)
+      Found->second.m_Worker = Ended.m_Worker;
     Found->second.m_End = Report;
   } else if (Found != m_Runs.end()) {
     m_Runs.erase(Found);
