Node: Tell keepers which workers have restarted

Each node passes the registrations that it reads to the partitions that it keeps. A partition gets those known already when it begins to serve, and those at the address of a worker when a loss is reported, because a worker may be back before the report. The log of the keeper says for each end whether the worker was lost, and names the task that is held, the crash with both incarnations, and the lost runs of a job that is given up.

Both cases of ATaskThatCrashesItsWorkers fail without the passing of registrations: no record follows, and the job is not shown as failed.

--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <optional>
+#include <vector>
 
 using namespace auburnhub;
 
@@ -69,6 +70,9 @@
   std::optional<LedgerCallOutcome> m_Outcome;
   bool m_MayStart = true;
   int m_StartedRuns = 0;
+  StoredRun m_LastRun;
+  StoredJobState m_State = StoredJobState::Queued;
+  std::vector<WorkerIncarnation> m_Workers;
   StateChart m_Chart = *StateChart::load(
       AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts/ledger-partition.yaml",
       LedgerPartition<ScriptedLog>::vocabulary());
@@ -82,9 +86,57 @@
       {[this](const std::string &, const StoredJobMessage &Msg) {
          if (const auto *Answer = std::get_if<LedgerCallAnswer>(&Msg))
            m_Outcome = Answer->m_Outcome;
+         if (const auto *Answer = std::get_if<LedgerCallAnswer>(&Msg))
+           m_State = Answer->m_State;
+         if (const auto *Order = std::get_if<RunStoredTask>(&Msg))
+           m_LastRun = {Order->m_Task.task(), Order->m_Task.m_Number};
          m_StartedRuns += std::holds_alternative<RunStoredTask>(Msg) ? 1 : 0;
        },
-       [](const StoredJobMessage &) {}, [] {}, [this] { return m_MayStart; }}};
+       [](const StoredJobMessage &) {}, [] {}, [this] { return m_MayStart; },
+       [this] { return m_Workers; }}};
+};
+
+/// The task of the job has a run, and crashes its workers.
+struct CrashFixture : PartitionFixture {
+  CrashFixture() {
+    answer(absl::OkStatus());
+    m_Owners.setLoad("owner", 4, 0);
+  }
+
+  /// Reports that the worker of the current run was lost, and stores that.
+  void loseRun(const WorkerIncarnation &On) {
+    StoredTaskReport Report;
+    Report.m_Run = m_LastRun;
+    Report.m_EndKind = StoredRunEnd::Over;
+    Report.m_Worker = On.m_Worker;
+    Report.m_LostWith = On;
+    m_Partition.onReport("owner", Report);
+    answer(absl::OkStatus());
+  }
+  /// Waits up to 10 s for a number of started runs.
+  void waitForRuns(int Count) {
+    TimePoint Begin = EventLoop::now();
+    while (m_StartedRuns < Count &&
+           millisecondsBetween(Begin, EventLoop::now()) < 10000) {
+      m_Loop.io().restart();
+      m_Loop.io().run_one_for(std::chrono::milliseconds(5));
+      m_Partition.advance();
+    }
+    BOOST_REQUIRE(m_StartedRuns == Count);
+  }
+  StoredJobState state() {
+    LedgerCall Call;
+    Call.m_Kind = LedgerCallKind::State;
+    Call.m_Id = "a";
+    m_Partition.onCall("entry", Call);
+    return m_State;
+  }
+
+  std::int64_t m_StartMs = EventLoop::wallMilliseconds() - 60000;
+  const WorkerIncarnation m_First{"w1", "10.0.0.1:80", m_StartMs};
+  const WorkerIncarnation m_Second{"w2", "10.0.0.2:80", m_StartMs};
+  const WorkerIncarnation m_FirstAgain{"w3", "10.0.0.1:80", m_StartMs + 9000};
+  const WorkerIncarnation m_SecondAgain{"w4", "10.0.0.2:80", m_StartMs + 9000};
 };
 
 } // namespace
@@ -123,3 +175,28 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ATaskThatCrashesItsWorkers, CrashFixture)
+
+BOOST_AUTO_TEST_CASE(CrashesNoThirdWorkerOnceTheyRegisterAgain) {
+  loseRun(m_First);
+  waitForRuns(2);
+  m_Partition.workerSeen(m_FirstAgain);
+  answer(absl::OkStatus());
+  loseRun(m_Second);
+  m_Partition.workerSeen(m_SecondAgain);
+  answer(absl::OkStatus());
+  BOOST_TEST((state() == StoredJobState::Failed));
+  BOOST_TEST(m_StartedRuns == 2);
+}
+
+BOOST_AUTO_TEST_CASE(CrashesNoThirdWorkerIfTheyWereBackBeforeTheReport) {
+  m_Workers = {m_FirstAgain, m_SecondAgain};
+  loseRun(m_First);
+  waitForRuns(2);
+  loseRun(m_Second);
+  BOOST_TEST((state() == StoredJobState::Failed));
+  BOOST_TEST(m_StartedRuns == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -193,6 +193,9 @@
   bool operator==(const WorkerSpec &) const = default;
 
   bool hasLabel(std::string_view Label) const;
+  WorkerIncarnation incarnation() const {
+    return {m_Id, m_Address, m_IncarnationStartMs};
+  }
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Node/JobKeeper.h
+++ b/include/auburnhub/Node/JobKeeper.h
@@ -50,6 +50,8 @@
   void onRuns(const std::string &From, const LedgerRuns &Msg);
   void nodeUp(const std::string &Node);
   void nodeLost(const std::string &Node);
+  /// A worker has registered, or its registration has changed.
+  void workerSeen(const WorkerIncarnation &Seen);
   /// Starts ready tasks; to be called when owners may have free capacity.
   void startReadyTasks();
   /// Releases all partitions and leaves the group; it does not join again.
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -238,6 +238,12 @@
     KeptPartition->ownerLost(Node);
 }
 
+template <JobLog Log>
+void JobKeeper<Log>::workerSeen(const WorkerIncarnation &Seen) {
+  for (const auto &[PartitionId, KeptPartition] : m_Partitions)
+    KeptPartition->workerSeen(Seen);
+}
+
 template <JobLog Log>
 std::vector<LedgerStatus> JobKeeper<Log>::statuses() const {
   std::vector<LedgerStatus> Result;
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,8 @@
   /// immediately before each start, because the process may have been paused
   /// since the last event.
   std::function<bool()> m_MayStart;
+  /// Returns the registered workers.
+  std::function<std::vector<WorkerIncarnation>()> m_Workers;
 };
 
 /// Keeps one partition of the stored jobs under one epoch: recovers it from the
@@ -72,6 +75,8 @@
   void onRuns(const std::string &From, const LedgerRuns &Msg);
   /// An owner is unreachable; its runs may still be active.
   void ownerLost(const std::string &Owner);
+  /// A worker has registered, or its registration has changed.
+  void workerSeen(const WorkerIncarnation &Seen);
   /// Processes expired timeouts, starts tasks that are ready, and appends
   /// records that are due.
   void advance();
@@ -121,12 +126,17 @@
   /// a larger batch, starts m_LingerTimer.
   bool isAppendDue(TimePoint Now);
   void assignTasks(TimePoint Now);
+  /// Passes the registered workers to the ledger, or only those at an address.
+  void passRegisteredWorkers(std::optional<std::string_view> Address);
   void countPending(TimePoint Now);
   void applyEffects();
   void apply(const LedgerCallAnswered &Effect);
   void apply(const LedgerStopRun &Effect);
   void apply(const LedgerEndStored &Effect);
   void apply(const LedgerJobFinished &Effect);
+  void apply(const LedgerCrashConfirmed &Effect);
+  void apply(const LedgerTaskHeld &Effect);
+  void apply(const LedgerTaskGivenUp &Effect);
   void answerState(const Caller &To, const std::string &Job);
   void holdQuery(const Caller &To, const std::string &Job);
   void answerDueQueries(TimePoint Now);
@@ -171,5 +181,6 @@
 } // namespace auburnhub
 
 #include "auburnhub/Node/LedgerPartitionImpl.h"
+#include "auburnhub/Node/LedgerPartitionLossesImpl.h"
 
 #endif
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -130,6 +130,7 @@
 
 template <JobLog Log> void LedgerPartition<Log>::beginServing() {
   m_Ledger.begin(EventLoop::now());
+  passRegisteredWorkers(std::nullopt);
   countPending(EventLoop::now());
   m_Effects.m_Broadcast(LedgerOpened{m_Claim});
 }
@@ -328,16 +329,20 @@
                                     const StoredTaskReport &Msg) {
   if (!isServing())
     return;
+  bool IsWorkerLost = !Msg.m_LostWith.m_Worker.empty();
   m_Log.info("stored_run_over", {{"task", Msg.m_Run.m_Task.str()},
                                  {"run", Msg.m_Run.m_Number},
                                  {"owner", From},
                                  {"worker", Msg.m_Worker},
                                  {"how", storedRunEndName(Msg.m_EndKind)},
                                  {"reason", jobReasonName(Msg.m_Reason)},
+                                 {"worker_lost", IsWorkerLost},
                                  {"epoch", m_Claim.m_Epoch}});
   m_Ledger.runEndReported(EventLoop::now(), EventLoop::wallMilliseconds(),
                           {From, Msg.m_Worker, Msg.m_Run.m_Task,
                            Msg.m_Run.m_Number, Msg.m_EndKind, Msg.m_LostWith});
+  if (IsWorkerLost)
+    passRegisteredWorkers(Msg.m_LostWith.m_Address);
   advance();
 }
 
@@ -372,6 +377,7 @@
                 {"owner", *Owner},
                 {"room", m_Owners.at(*Owner).freeCapacity()},
                 {"epoch", m_Claim.m_Epoch},
+                {"lost_runs", Task->m_LostRuns},
                 {"age_ms", std::round(Task->m_AgeMs)}});
     m_Owners.addSentTasks(*Owner, OneTask);
     m_Ledger.taskStarted(Now, *Owner);
--- /dev/null
+++ b/include/auburnhub/Node/LedgerPartitionLossesImpl.h
@@ -0,0 +1,75 @@
+#ifndef AUBURNHUB_NODE_LEDGERPARTITIONLOSSESIMPL_H
+#define AUBURNHUB_NODE_LEDGERPARTITIONLOSSESIMPL_H
+
+#include "auburnhub/Node/LedgerPartitionImpl.h"
+
+#include <cmath>
+#include <utility>
+
+/// \file
+/// The part of LedgerPartition that handles runs which are lost together with
+/// their worker.
+
+namespace auburnhub {
+
+template <JobLog Log>
+void LedgerPartition<Log>::workerSeen(const WorkerIncarnation &Seen) {
+  if (!isServing())
+    return;
+  m_Ledger.workerSeen(EventLoop::now(), EventLoop::wallMilliseconds(), Seen);
+  applyEffects();
+  append();
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::passRegisteredWorkers(
+    std::optional<std::string_view> Address) {
+  for (const WorkerIncarnation &Seen : m_Effects.m_Workers())
+    if (!Address || Seen.m_Address == *Address)
+      m_Ledger.workerSeen(EventLoop::now(), EventLoop::wallMilliseconds(),
+                          Seen);
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::apply(const LedgerCrashConfirmed &Effect) {
+  m_Log.warning("worker_crashed_under_task",
+                {{"task", Effect.m_Task.str()},
+                 {"run", Effect.m_Run.m_Number},
+                 {"worker", Effect.m_Run.m_On.m_Worker},
+                 {"address", Effect.m_Run.m_On.m_Address},
+                 {"incarnation", Effect.m_Run.m_On.m_StartMs},
+                 {"next_worker", Effect.m_Successor.m_Worker},
+                 {"next_incarnation", Effect.m_Successor.m_StartMs},
+                 {"epoch", m_Claim.m_Epoch}});
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::apply(const LedgerTaskHeld &Effect) {
+  m_Log.warning("stored_task_held",
+                {{"task", Effect.m_Task.str()},
+                 {"reason", "the last worker may have crashed"},
+                 {"lost_runs", Effect.m_LostRuns},
+                 {"crashes", Effect.m_Crashes},
+                 {"for_ms", std::round(Effect.m_HeldForMs)},
+                 {"epoch", m_Claim.m_Epoch}});
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::apply(const LedgerTaskGivenUp &Effect) {
+  nlohmann::json Runs = nlohmann::json::array();
+  for (const LostRun &Run : Effect.m_Runs)
+    Runs.push_back({{"run", Run.m_Number},
+                    {"worker", Run.m_On.m_Worker},
+                    {"address", Run.m_On.m_Address},
+                    {"incarnation", Run.m_On.m_StartMs},
+                    {"crashed", Run.m_HasCrashed}});
+  m_Log.warning("stored_job_given_up", {{"job", Effect.m_Task.m_Job},
+                                        {"task", Effect.m_Task.str()},
+                                        {"lost_runs", std::move(Runs)},
+                                        {"part", m_Claim.m_PartitionId},
+                                        {"epoch", m_Claim.m_Epoch}});
+}
+
+} // namespace auburnhub
+
+#endif
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -179,6 +179,7 @@
 
   // Stored jobs.
   LedgerPartitionEffects ledgerEffects();
+  std::vector<WorkerIncarnation> workerIncarnations() const;
   StoredRunsEffects storedRunsEffects();
   /// Sends a message to a node. A message to this node is delivered by a posted
   /// callback, not within this call.
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -121,6 +121,7 @@
                                  {"leaving", Spec.m_Leaving},
                                  {"workers", m_Workers.size()}});
   It->second = Spec;
+  m_Keeper.workerSeen(Spec.incarnation());
   scheduleOwnershipUpdate();
 }
 
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -5,6 +5,7 @@
 
 #include <utility>
 #include <variant>
+#include <vector>
 
 /// \file
 /// The part of Node that handles stored jobs: routes messages between callers'
@@ -20,7 +21,18 @@
       },
       [this](const StoredJobMessage &Msg) { broadcastStoredJobMessage(Msg); },
       [this] { onLedgersChanged(); },
-      {}};
+      {},
+      [this] { return workerIncarnations(); }};
+}
+
+template <WorkerTransport Transport, JobLog Log>
+std::vector<WorkerIncarnation>
+Node<Transport, Log>::workerIncarnations() const {
+  std::vector<WorkerIncarnation> Result;
+  Result.reserve(m_Workers.size());
+  for (const auto &[Id, Spec] : m_Workers)
+    Result.push_back(Spec.incarnation());
+  return Result;
 }
 
 template <WorkerTransport Transport, JobLog Log>
