Jobs: Run a task alone after it was lost with its worker

A worker that crashes is away for some seconds and takes the tasks beside the deadly one along. Cause: a task whose worker was lost was started again beside healthy tasks, lost its next worker with them, and so on; healthy tasks were lost several times in a row.

A task with lost runs, of a stored or a best-effort job, now gets a worker without runs and has it to itself until the run has ended; one such task of a service at a time. If no worker is idle, the one with the fewest runs is set aside: it gets no new runs until it is idle, its free capacity is no longer reported, and the task is not returned to its ledger meanwhile. The worker is released when the task no longer waits or the worker can no longer serve it. So a healthy task that was lost runs once more and goes on, and a deadly one takes nothing along.

run_ordered says whether the task runs alone; worker_set_aside names worker and task.

The property also fails if more than one such task runs at a time, if other tasks use the worker, or if it is not released.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -140,6 +140,7 @@
   ActiveTask &Task = Job.m_Tasks.emplace_back();
   Task.m_Ref = Stored.task();
   Task.m_LastNumber = Stored.m_Number - 1;
+  Task.m_LostRuns = Stored.m_LostRuns;
   Task.m_AvoidedWorkers.insert(Stored.m_AvoidedWorkers.begin(),
                                Stored.m_AvoidedWorkers.end());
   Job.m_UnfinishedTasks = 1;
@@ -260,7 +261,8 @@
   for (auto &[Id, Job] : m_Jobs) {
     if (Now >= Job->m_Deadline && !Job->m_Stored)
       Expired.emplace_back(Job.get(), JobReason::TimedOut);
-    else if (!Job->m_FirstStart && Now >= Job->m_WaitUntil)
+    else if (!Job->m_FirstStart && Now >= Job->m_WaitUntil &&
+             !hasWorkerSetAside(*Job, 0))
       Expired.emplace_back(Job.get(), JobReason::NoRoom);
   }
   for (auto [Job, Reason] : Expired)
@@ -277,6 +279,8 @@
   checkStalled(Now);
   startWaitingTasks(Now);
   checkDeadlines(Now);
+  if (releaseWorkersSetAside())
+    startWaitingTasks(Now);
 }
 
 JobScheduler::Rank JobScheduler::rank(TimePoint Now, const ActiveJob &Job,
@@ -296,6 +300,7 @@
 }
 
 void JobScheduler::startWaitingTasks(TimePoint Now) {
+  releaseWorkersSetAside();
   std::vector<std::pair<Rank, ActiveJob *>> Order;
   std::map<std::string_view, double> BestSpeeds;
   for (auto &[Id, Job] : m_Jobs) {
@@ -317,11 +322,11 @@
     startTasks(Now, *Job);
 }
 
-bool JobScheduler::startTasks(TimePoint Now, ActiveJob &Job) {
+void JobScheduler::startTasks(TimePoint Now, ActiveJob &Job) {
   for (std::size_t I = 0; I < Job.m_Tasks.size(); ++I)
-    if (Job.m_Tasks[I].m_State == TaskState::Waiting && !startTask(Now, Job, I))
-      return false;
-  return true;
+    if (Job.m_Tasks[I].m_State == TaskState::Waiting &&
+        !startTask(Now, Job, I) && !mustRunAlone(Job.m_Tasks[I]))
+      return;
 }
 
 std::uint32_t JobScheduler::tasksOfStepOn(const ActiveTask &Task,
@@ -346,6 +351,14 @@
   Requirements.m_TasksOnWorker = [&](const std::string &Worker) {
     return tasksOfStepOn(Task, Worker);
   };
+  Requirements.m_RunsAlone = mustRunAlone(Task);
+  if (Requirements.m_RunsAlone) {
+    const Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
+    if (Isolated.m_Run != 0)
+      return false;
+    if (hasWorkerSetAside(Job, Index))
+      Requirements.m_SetAsideWorker = Isolated.m_Worker;
+  }
   std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Requirements);
   if (!Choice && !Task.m_AvoidedWorkers.empty()) {
     // No other worker is available: retry on a worker on which the task has
@@ -353,8 +366,11 @@
     Requirements.m_AvoidedWorkers = nullptr;
     Choice = m_Workers.choose(Now, Requirements);
   }
-  if (!Choice)
+  if (!Choice) {
+    if (Requirements.m_RunsAlone)
+      setWorkerAside(Now, Job, Index, Requirements);
     return false;
+  }
   WorkerRecord &Worker = *Choice->m_Worker;
   Worker.m_Free -= Step.m_TaskResources;
   ++Worker.m_Running;
@@ -375,6 +391,8 @@
   Added.m_ExpectedMs = Choice->m_ExpectedMs;
   Added.m_Queue = Job.m_Request.m_Policy.m_Queue;
   Added.m_Started = Now;
+  if (Requirements.m_RunsAlone)
+    beginIsolatedRun(Job, Index, Worker);
   QueueModel &Model = m_Queues[Added.m_Queue];
   Model.m_MeanEstimateMs +=
       std::max(m_Parameters.m_RunTimeWeight,
@@ -391,6 +409,7 @@
   Order.m_Candidates = Choice->m_Candidates;
   Order.m_WaitedMs = millisecondsBetween(Job.m_Submitted, Now);
   Order.m_Stored = Job.m_Stored;
+  Order.m_RunsAlone = Requirements.m_RunsAlone;
   m_Effects.emplace_back(std::move(Order));
   return true;
 }
--- /dev/null
+++ b/Source/Jobs/JobSchedulerIsolation.cpp
@@ -0,0 +1,89 @@
+#include "auburnhub/Jobs/JobScheduler.h"
+
+#include <algorithm>
+
+/// \file
+/// The part of JobScheduler that runs tasks alone.
+
+namespace auburnhub {
+
+bool JobScheduler::hasWorkerSetAside(const ActiveJob &Job,
+                                     std::size_t Task) const {
+  auto Found = m_Isolations.find(Job.m_Request.m_Policy.m_Service);
+  return Found != m_Isolations.end() && !Found->second.m_Worker.empty() &&
+         Found->second.m_Job == Job.m_Request.m_Id &&
+         Found->second.m_Task == Task;
+}
+
+void JobScheduler::setWorkerAside(TimePoint Now, const ActiveJob &Job,
+                                  std::size_t Task,
+                                  TaskRequirements Requirements) {
+  Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
+  if (!Isolated.m_Worker.empty())
+    return;
+  Requirements.m_AvoidedWorkers = &Job.m_Tasks[Task].m_AvoidedWorkers;
+  WorkerRecord *Worker = m_Workers.chooseToSetAside(Now, Requirements);
+  Requirements.m_AvoidedWorkers = nullptr;
+  if (!Worker)
+    Worker = m_Workers.chooseToSetAside(Now, Requirements);
+  if (!Worker)
+    return;
+  Worker->m_SetAside = true;
+  Isolated.m_Worker = Worker->m_Spec.m_Id;
+  Isolated.m_Job = Job.m_Request.m_Id;
+  Isolated.m_Task = Task;
+  m_Effects.emplace_back(WorkerSetAside{
+      Isolated.m_Worker, Job.m_Tasks[Task].m_Ref, Worker->m_Running});
+}
+
+void JobScheduler::beginIsolatedRun(const ActiveJob &Job, std::size_t Task,
+                                    WorkerRecord &Worker) {
+  Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
+  if (hasWorkerSetAside(Job, Task))
+    releaseWorkerSetAside(Isolated);
+  Isolated.m_Run = Job.m_Tasks[Task].m_Run;
+  Worker.m_SetAside = true;
+}
+
+void JobScheduler::endIsolatedRun(RunId Id) {
+  auto IsOfRun = [Id](const auto &Entry) { return Entry.second.m_Run == Id; };
+  auto Found = std::find_if(m_Isolations.begin(), m_Isolations.end(), IsOfRun);
+  if (Found == m_Isolations.end())
+    return;
+  Found->second.m_Run = 0;
+  if (WorkerRecord *Worker = m_Workers.find(m_Runs.at(Id).m_Worker))
+    Worker->m_SetAside = false;
+}
+
+void JobScheduler::releaseWorkerSetAside(Isolation &Isolated) {
+  if (WorkerRecord *Worker = m_Workers.find(Isolated.m_Worker))
+    Worker->m_SetAside = false;
+  Isolated.m_Worker.clear();
+}
+
+bool JobScheduler::releaseWorkersSetAside() {
+  bool HasReleased = false;
+  for (auto It = m_Isolations.begin(); It != m_Isolations.end();) {
+    auto &[Service, Isolated] = *It;
+    auto Job = m_Jobs.find(Isolated.m_Job);
+    const WorkerRecord *Worker = m_Workers.find(Isolated.m_Worker);
+    bool IsWaiting =
+        Job != m_Jobs.end() && Isolated.m_Task < Job->second->m_Tasks.size() &&
+        Job->second->m_Tasks[Isolated.m_Task].m_State == TaskState::Waiting;
+    bool IsNeeded =
+        IsWaiting && Worker && Worker->m_SetAside &&
+        WorkerRegistry::meetsWhenIdle(
+            *Worker, Service,
+            Job->second->m_Request
+                .m_Steps[Job->second->m_Tasks[Isolated.m_Task].m_Step]);
+    if (!Isolated.m_Worker.empty() && !IsNeeded) {
+      releaseWorkerSetAside(Isolated);
+      HasReleased = true;
+    }
+    bool IsUnused = Isolated.m_Run == 0 && Isolated.m_Worker.empty();
+    It = IsUnused ? m_Isolations.erase(It) : std::next(It);
+  }
+  return HasReleased;
+}
+
+} // namespace auburnhub
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -28,6 +28,7 @@
     Worker->m_Free += Found->second.m_Used;
     --Worker->m_Running;
   }
+  endIsolatedRun(Id);
   m_Runs.erase(Found);
 }
 
@@ -112,8 +113,10 @@
       onTaskDone(Now, Job, Task);
     else if (End == RunEnd::Failed)
       onTaskFailed(Now, Job, Task, Run.m_Worker);
-    else
+    else {
+      Task.m_LostRuns += End == RunEnd::Lost;
       requeue(Now, Job, Task);
+    }
   }
   advance(Now);
 }
--- a/Source/Jobs/WorkerRegistry.cpp
+++ b/Source/Jobs/WorkerRegistry.cpp
@@ -59,6 +59,9 @@
         !Worker.isAvailable(Now) ||
         !Step.m_TaskResources.fitsInto(Worker.m_Free))
       continue;
+    bool IsForOthers = Worker.m_SetAside && Id != Requirements.m_SetAsideWorker;
+    if (IsForOthers || (Requirements.m_RunsAlone && Worker.m_Running > 0))
+      continue;
     if (!Step.m_RequiredLabel.empty() &&
         !Worker.m_Spec.hasLabel(Step.m_RequiredLabel))
       continue;
@@ -88,6 +91,32 @@
   return Best;
 }
 
+bool WorkerRegistry::meetsWhenIdle(const WorkerRecord &Worker,
+                                   std::string_view Service,
+                                   const JobStep &Step) {
+  const WorkerSpec &Spec = Worker.m_Spec;
+  return Spec.m_Service == Service && Worker.m_Reachable && !Spec.m_Leaving &&
+         Worker.m_Health.state() != HealthState::Ejected &&
+         Step.m_TaskResources.fitsInto(Spec.m_Capacity) &&
+         (Step.m_RequiredLabel.empty() || Spec.hasLabel(Step.m_RequiredLabel));
+}
+
+WorkerRecord *
+WorkerRegistry::chooseToSetAside(TimePoint Now,
+                                 const TaskRequirements &Requirements) {
+  beginProbations(Now);
+  WorkerRecord *Best = nullptr;
+  for (auto &[Id, Worker] : m_Workers) {
+    if (!meetsWhenIdle(Worker, Requirements.m_Service, *Requirements.m_Step) ||
+        (Requirements.m_AvoidedWorkers &&
+         Requirements.m_AvoidedWorkers->contains(Id)))
+      continue;
+    if (!Worker.m_SetAside && (!Best || Worker.m_Running < Best->m_Running))
+      Best = &Worker;
+  }
+  return Best;
+}
+
 bool WorkerRegistry::fitsAnyIdleWorker(std::string_view Service,
                                        const JobStep &Step) const {
   return std::any_of(m_Workers.begin(), m_Workers.end(),
@@ -113,7 +142,8 @@
                                       const Resources &TaskSize) const {
   std::int64_t Total = 0;
   for (const auto &[Id, Worker] : m_Workers)
-    if (Worker.isAvailable(Now) && TaskSize.m_CpuMillis > 0)
+    if (Worker.isAvailable(Now) && !Worker.m_SetAside &&
+        TaskSize.m_CpuMillis > 0)
       Total += std::max<std::int64_t>(0, Worker.m_Free.m_CpuMillis) /
                TaskSize.m_CpuMillis;
   return static_cast<std::size_t>(Total);
--- a/Tests/Jobs/JobSchedulerPropertyTest.cpp
+++ b/Tests/Jobs/JobSchedulerPropertyTest.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t Capacity = 16000;
 
 /// Drives a scheduler with random events and checks its invariants after each.
+/// Some of the jobs are single tasks of stored jobs, lost before or not.
 class RandomScheduler : public SchedulerFixture {
 public:
   RandomScheduler() {
@@ -22,12 +23,37 @@
 
   void step() {
     std::size_t OldStarts = m_Starts.size();
-    applyEvent(*rc::gen::inRange(0, 9));
-    for (std::size_t I = OldStarts; I < m_Starts.size(); ++I)
-      recordStart(m_Starts[I]);
+    applyEvent(*rc::gen::inRange(0, 10));
+    recordStarts(OldStarts);
     checkInvariants();
   }
 
+  /// Lets every run succeed on reachable workers until no task is left.
+  void completeStoredTasks() {
+    for (int Worker = 0; Worker < 3; ++Worker)
+      m_Scheduler.setReachable(m_Now, "w" + std::to_string(Worker), true);
+    std::size_t OldStarts = m_Starts.size();
+    collect();
+    recordStarts(OldStarts);
+    for (int I = 0; I < 2000 && m_Scheduler.jobs() > 0; ++I) {
+      OldStarts = m_Starts.size();
+      if (m_LiveRuns.empty())
+        advanceTime(500);
+      else
+        endRun(m_LiveRuns.begin()->first, RunEnd::Done);
+      recordStarts(OldStarts);
+      checkInvariants();
+    }
+    RC_ASSERT(m_Scheduler.jobs() == 0U);
+    RC_ASSERT(m_EndedStoredTasks.size() == m_StoredTasks);
+    while (!m_LiveRuns.empty())
+      endRun(m_LiveRuns.begin()->first, RunEnd::Stopped);
+    // No worker is left set aside.
+    RC_ASSERT(m_Scheduler.freeSlots(addMs(m_Now, 60000)) > 0U);
+    for (const auto &[Id, Worker] : m_Scheduler.workers().all())
+      RC_ASSERT(!Worker.m_SetAside);
+  }
+
   void finish() {
     advanceTime(6000);
     for (const std::string &Job : m_Submitted) {
@@ -41,13 +67,28 @@
     TaskRef m_Task;
     std::string m_Worker;
     std::int64_t m_Cpu = 0;
+    bool m_WasLost = false; ///< An earlier run of the task.
   };
 
+  void recordStarts(std::size_t First) {
+    for (std::size_t I = First; I < m_Starts.size(); ++I)
+      recordStart(m_Starts[I]);
+  }
+
   void recordStart(const StartRun &Order) {
-    m_LiveRuns[Order.m_Run] = {Order.m_Task, Order.m_Worker, 5000};
+    std::int64_t Cpu = Order.m_Stored ? 6000 : 5000;
+    m_LiveRuns[Order.m_Run] = {Order.m_Task, Order.m_Worker, Cpu,
+                               m_LostTasks.contains(Order.m_Task)};
     m_PossibleStarts[Order.m_Task.m_Job].insert(Order.m_Run);
   }
 
+  void endRun(RunId Run, RunEnd End) {
+    if (End == RunEnd::Lost)
+      m_LostTasks.insert(m_LiveRuns.at(Run).m_Task);
+    m_LiveRuns.erase(Run);
+    end(Run, End);
+  }
+
   RunId anyLiveRun() const {
     auto It = m_LiveRuns.begin();
     std::advance(It, *rc::gen::inRange<std::size_t>(0, m_LiveRuns.size()));
@@ -77,34 +118,51 @@
       collect();
       return;
     }
+    if (Choice == 6) {
+      auto Index = static_cast<std::uint32_t>(m_StoredTasks++);
+      std::uint32_t LostRuns = *rc::gen::inRange(0U, 3U);
+      if (LostRuns > 0)
+        m_LostTasks.insert({"stored-job", 2, Index});
+      submitStored(Index, LostRuns + 1, {}, LostRuns);
+      return;
+    }
     if (m_LiveRuns.empty())
       return;
     RunId Run = anyLiveRun();
-    if (Choice == 6) {
+    if (Choice == 7) {
       accept(Run);
       return;
     }
-    LiveRun Ended = m_LiveRuns.at(Run);
-    m_LiveRuns.erase(Run);
-    if (Choice == 7) {
+    if (Choice == 8) {
+      LiveRun Ended = m_LiveRuns.at(Run);
+      m_LiveRuns.erase(Run);
       m_PossibleStarts[Ended.m_Task.m_Job].erase(Run);
       refuse(Run,
              *rc::gen::element(RefusalReason::NoRoom, RefusalReason::NumberUsed,
                                RefusalReason::Unhealthy));
       return;
     }
-    end(Run, *rc::gen::element(RunEnd::Done, RunEnd::Done, RunEnd::Failed,
-                               RunEnd::Stopped, RunEnd::Lapsed));
+    endRun(Run, *rc::gen::element(RunEnd::Done, RunEnd::Done, RunEnd::Failed,
+                                  RunEnd::Stopped, RunEnd::Lapsed, RunEnd::Lost,
+                                  RunEnd::Lost));
   }
 
   void checkInvariants() const {
     std::set<TaskRef> Tasks;
     std::map<std::string, std::int64_t> Used;
+    std::map<std::string, std::size_t> Runs;
+    std::size_t RunsAlone = 0;
     for (const auto &[Run, Live] : m_LiveRuns) {
       // No task has two runs that may be alive.
       RC_ASSERT(Tasks.insert(Live.m_Task).second);
       Used[Live.m_Worker] += Live.m_Cpu;
+      ++Runs[Live.m_Worker];
+      RunsAlone += Live.m_WasLost;
     }
+    // A task that was lost shares no worker; one such task runs at a time.
+    for (const auto &[Run, Live] : m_LiveRuns)
+      RC_ASSERT(!Live.m_WasLost || Runs.at(Live.m_Worker) == 1U);
+    RC_ASSERT(RunsAlone <= 1U);
     for (const auto &[Worker, Cpu] : Used)
       RC_ASSERT(Cpu <= Capacity);
     for (const auto &[Job, Results] : m_FinishedJobs) {
@@ -119,6 +177,8 @@
   }
 
   std::map<RunId, LiveRun> m_LiveRuns;
+  std::set<TaskRef> m_LostTasks;
+  std::size_t m_StoredTasks = 0;
   std::map<std::string, std::set<RunId>> m_PossibleStarts;
   std::vector<std::string> m_Submitted;
 };
@@ -138,4 +198,15 @@
   BOOST_TEST(Passed);
 }
 
+BOOST_AUTO_TEST_CASE(EndsEveryTaskAndReleasesEveryWorker) {
+  bool Passed = rc::check([] {
+    RandomScheduler Run;
+    int Steps = *rc::gen::inRange(1, 120);
+    for (int I = 0; I < Steps; ++I)
+      Run.step();
+    Run.completeStoredTasks();
+  });
+  BOOST_TEST(Passed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Jobs/SchedulerFixture.h
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -76,13 +76,15 @@
     m_FinishedJobs[Event.m_Job].push_back(Event.m_Result);
   }
 
+  void record(const WorkerSetAside &Event) { m_SetAside.push_back(Event); }
   void record(const StoredTaskEnded &Event) {
     m_EndedStoredTasks.push_back(Event);
   }
 
   /// Submits one task of a stored job.
   void submitStored(std::uint32_t Index, std::uint32_t Number = 1,
-                    std::vector<std::string> AvoidedWorkers = {}) {
+                    std::vector<std::string> AvoidedWorkers = {},
+                    std::uint32_t LostRuns = 0) {
     JobRequest Request = job("stored-job", 1);
     StoredTask Task;
     Task.m_Job = Request.m_Id;
@@ -92,6 +94,7 @@
     Task.m_Policy = Request.m_Policy;
     Task.m_Step = Request.m_Steps.front();
     Task.m_AvoidedWorkers = std::move(AvoidedWorkers);
+    Task.m_LostRuns = LostRuns;
     m_Scheduler.submit(m_Now, Task);
     collect();
   }
@@ -108,6 +111,7 @@
   std::vector<RunId> m_Stops;
   std::map<std::string, std::vector<JobResult>> m_FinishedJobs;
   std::vector<StoredTaskEnded> m_EndedStoredTasks;
+  std::vector<WorkerSetAside> m_SetAside;
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -33,6 +33,7 @@
   std::size_t m_Candidates = 0; ///< Workers that could run the task.
   double m_WaitedMs = 0;        ///< Since the job was submitted.
   bool m_Stored = false; ///< The worker must keep the end until it is stored.
+  bool m_RunsAlone = false; ///< Without other runs on the worker.
 };
 
 /// Order: stop a run. The scheduler keeps the run's resources reserved until
@@ -63,7 +64,15 @@
   std::size_t m_Runs = 0;   ///< Start orders issued for it.
 };
 
-using JobEffect = std::variant<StartRun, StopRun, JobFinished, StoredTaskEnded>;
+/// A worker gets no new runs until it is idle and the task has started.
+struct WorkerSetAside {
+  std::string m_Worker;
+  TaskRef m_Task;
+  std::size_t m_Runs = 0; ///< Active runs of the worker.
+};
+
+using JobEffect = std::variant<StartRun, StopRun, JobFinished, StoredTaskEnded,
+                               WorkerSetAside>;
 
 /// Why a run was refused. In each case the run has not started and never will.
 enum class RefusalReason {
@@ -82,6 +91,10 @@
 /// Jobs that can still meet their latency objective go first, in the order of
 /// the latest start that meets it; then jobs that will be late but still
 /// useful; then the rest.
+///
+/// A task that was lost with a worker may have crashed it. It runs alone on a
+/// worker, one such task of a service at a time. If no worker is idle, the one
+/// with the fewest runs is set aside for it.
 class JobScheduler {
 public:
   explicit JobScheduler(const JobParameters &Parameters);
@@ -153,6 +166,7 @@
     RunId m_Run = 0;
     std::uint32_t m_LastNumber = 0;
     std::uint32_t m_Failures = 0;
+    std::uint32_t m_LostRuns = 0; ///< Runs that ended with their worker.
     /// Workers on which the task has failed or stalled.
     std::set<std::string> m_AvoidedWorkers;
   };
@@ -193,6 +207,14 @@
     bool m_Stalled = false;
   };
 
+  /// The tasks of one service that run alone.
+  struct Isolation {
+    RunId m_Run = 0;      ///< The active run, or 0.
+    std::string m_Worker; ///< Set aside for a waiting task, or empty.
+    std::string m_Job;    ///< Job of that task.
+    std::size_t m_Task = 0;
+  };
+
   /// The order in which waiting jobs are served.
   struct Rank {
     /// 0: can meet its objective, 1: late but useful, 2: too late.
@@ -206,9 +228,22 @@
   void learnTaskSize(const Resources &TaskSize);
   void unblockTasks(ActiveJob &Job);
   void startWaitingTasks(TimePoint Now);
-  /// Starts waiting tasks of the job; returns whether all could be started.
-  bool startTasks(TimePoint Now, ActiveJob &Job);
+  void startTasks(TimePoint Now, ActiveJob &Job);
   bool startTask(TimePoint Now, ActiveJob &Job, std::size_t Index);
+  static bool mustRunAlone(const ActiveTask &Task) {
+    return Task.m_LostRuns > 0;
+  }
+  /// Returns whether a worker is set aside for the task.
+  bool hasWorkerSetAside(const ActiveJob &Job, std::size_t Task) const;
+  void setWorkerAside(TimePoint Now, const ActiveJob &Job, std::size_t Task,
+                      TaskRequirements Requirements);
+  void beginIsolatedRun(const ActiveJob &Job, std::size_t Task,
+                        WorkerRecord &Worker);
+  void endIsolatedRun(RunId Id);
+  /// Releases workers whose task no longer waits or that can no longer serve
+  /// it. Returns whether there were any.
+  bool releaseWorkersSetAside();
+  void releaseWorkerSetAside(Isolation &Isolated);
   /// Makes the task wait for a worker again; abandons the job if too little
   /// time remains.
   void requeue(TimePoint Now, ActiveJob &Job, ActiveTask &Task);
@@ -251,6 +286,7 @@
     std::uint64_t m_Samples = 0;
   };
   std::map<std::string, QueueModel> m_Queues;
+  std::map<std::string, Isolation> m_Isolations; ///< By service.
   Resources m_TypicalTask; ///< Learned; only its CPU is set.
   bool m_HasTypicalTask = false;
   RunId m_LastRun = 0;
--- a/include/auburnhub/Jobs/WorkerRegistry.h
+++ b/include/auburnhub/Jobs/WorkerRegistry.h
@@ -27,6 +27,8 @@
   TimePoint m_EjectedUntil;
   TimePoint m_PausedUntil;   ///< No new runs until then, after a refusal.
   std::size_t m_Running = 0; ///< Active runs ordered by the scheduler.
+  /// Set aside for a task that runs alone; gets no other new runs.
+  bool m_SetAside = false;
 
   /// Returns whether the worker may get a new run.
   bool isAvailable(TimePoint Now) const;
@@ -41,6 +43,9 @@
   const std::set<std::string> *m_AvoidedWorkers = nullptr;
   /// Returns how many tasks of the step already run on a worker.
   std::function<std::uint32_t(const std::string &)> m_TasksOnWorker;
+  bool m_RunsAlone = false; ///< The worker must have no runs.
+  /// The worker that is set aside for this task, if any.
+  std::string_view m_SetAsideWorker;
 };
 
 /// A worker chosen for a task, with the figures logged for the decision.
@@ -69,6 +74,16 @@
   std::optional<WorkerChoice> choose(TimePoint Now,
                                      const TaskRequirements &Requirements);
 
+  /// Returns the available worker with the fewest runs that meets the
+  /// requirements once it is idle, or null.
+  WorkerRecord *chooseToSetAside(TimePoint Now,
+                                 const TaskRequirements &Requirements);
+
+  /// Returns whether the worker is in use and meets the requirements once it is
+  /// idle. Avoided workers count.
+  static bool meetsWhenIdle(const WorkerRecord &Worker,
+                            std::string_view Service, const JobStep &Step);
+
   /// Returns whether a task of the step would fit on some worker of the service
   /// if that worker were idle.
   bool fitsAnyIdleWorker(std::string_view Service, const JobStep &Step) const;
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -97,6 +97,11 @@
   void execute(const StoredTaskEnded &Ended) {
     m_Events.m_StoredTaskEnded(Ended);
   }
+  void execute(const WorkerSetAside &SetAside) {
+    m_Log.info("worker_set_aside", {{"worker", SetAside.m_Worker},
+                                    {"task", SetAside.m_Task.str()},
+                                    {"runs", SetAside.m_Runs}});
+  }
   void armTimer();
   void dropIdleWorkers();
   void logRunEnd(RunId Run, RunEnd End, const WorkerIncarnation &LostWith);
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -289,6 +289,7 @@
                              {"worker", Order.m_Worker},
                              {"token", Found->second.m_Assignment.m_Token},
                              {"candidates", Order.m_Candidates},
+                             {"alone", Order.m_RunsAlone},
                              {"expected_ms", std::round(Order.m_ExpectedMs)},
                              {"waited_ms", std::round(Order.m_WaitedMs)}});
   Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
