Policy: Count lost attempts in the task that lost them

PoisonGuard kept the lost attempts of the endpoints' tasks in a map of its own, filled and erased along with the tasks. The count is now part of the task, and the rule when a task is given up is LossLimits, which jobs can use too. The scheduler stops a task after the same number of losses as before; the test StopsWhenItHasLostTooManyEndpoints is unchanged and passes.

--- a/include/auburnhub/Policy/Scheduler.h
+++ b/include/auburnhub/Policy/Scheduler.h
@@ -3,7 +3,7 @@
 
 #include "auburnhub/Base/Failure.h"
 #include "auburnhub/Policy/LeastExpectedCompletion.h"
-#include "auburnhub/Policy/PoisonGuard.h"
+#include "auburnhub/Policy/LossLimits.h"
 #include "auburnhub/Policy/RetryAfter.h"
 #include "auburnhub/Policy/ServiceState.h"
 #include "auburnhub/Policy/TimedQueue.h"
@@ -166,6 +166,7 @@
     TaskResult m_Result = TaskResult::Ok;
     std::uint64_t m_Attempt = 0; ///< Unique among the attempts of all tasks.
     bool m_IsRetry = false;
+    LossCount m_Losses; ///< Attempts whose connection broke.
   };
 
   /// Identifies an attempt of a task. Entries of the timed queues refer to
@@ -223,7 +224,6 @@
   void enqueue(TimePoint Now, Task &T, bool Front);
   void dequeue(Task &T);
   void markExpired(Task &T);
-  void erase(TaskKey Key);
   void demote(TimePoint Now, const AttemptId &Id);
   void scheduleDemotion(TimePoint Now, const Task &T);
   void forgetStaleWork(TimePoint Now);
@@ -262,7 +262,6 @@
   std::vector<Team> m_Teams;
   std::unordered_map<std::string, FairQueue::Team> m_TeamIndex;
   std::unordered_map<TaskKey, Task> m_Tasks;
-  PoisonGuard m_PoisonGuard;
   TimedQueue<AttemptId> m_Expiries;
   TimedQueue<AttemptId> m_Demotions;
   TimedQueue<AttemptId> m_ForgetTimes;
--- a/include/auburnhub/Policy/SchedulerTasksImpl.h
+++ b/include/auburnhub/Policy/SchedulerTasksImpl.h
@@ -158,12 +158,6 @@
   m_Expired.push_back(T.m_Request.m_Key);
 }
 
-template <PlacementPolicy Placement>
-void Scheduler<Placement>::erase(TaskKey Key) {
-  m_Tasks.erase(Key);
-  m_PoisonGuard.forget(Key);
-}
-
 template <PlacementPolicy Placement>
 CancelResult Scheduler<Placement>::cancel(TaskKey Key) {
   auto It = m_Tasks.find(Key);
@@ -173,13 +167,13 @@
   case Phase::Running:
     return CancelResult::Running;
   case Phase::Ended:
-    erase(Key);
+    m_Tasks.erase(Key);
     return CancelResult::Unknown;
   case Phase::Queued:
     dequeue(It->second);
     [[fallthrough]];
   case Phase::Expired:
-    erase(Key);
+    m_Tasks.erase(Key);
     return CancelResult::Removed;
   }
   return CancelResult::Unknown;
@@ -199,7 +193,7 @@
     auto It = m_Tasks.find(Key);
     if (It == m_Tasks.end() || It->second.m_Phase != Phase::Expired)
       continue;
-    erase(Key);
+    m_Tasks.erase(Key);
     Expired.push_back(Key);
   }
   return Expired;
@@ -234,9 +228,9 @@
   T->m_Phase = Phase::Ended;
   T->m_Result = Result;
   if (Result == TaskResult::Lost)
-    m_PoisonGuard.recordLoss(Key);
+    ++T->m_Losses.m_Losses;
   if (Result == TaskResult::Ok || Result == TaskResult::Cancelled)
-    erase(Key);
+    m_Tasks.erase(Key);
   else
     m_ForgetTimes.push(std::max(T->m_Request.m_Deadline, Now),
                        {Key, T->m_Attempt});
@@ -271,7 +265,9 @@
   Task &T = It->second;
   Service &S = m_Services[T.m_Service];
   absl::Status Status;
-  if (!m_PoisonGuard.mayRun(Key, m_Parameters.m_MaxLosses))
+  LossLimits Limits;
+  Limits.m_MaxLosses = static_cast<std::uint32_t>(m_Parameters.m_MaxLosses);
+  if (Limits.areReached(T.m_Losses))
     Status = makeFailure(FailureCode::TaskFailed,
                          "the connection to the endpoint broke in "
                          "policy.max_losses attempts of the task");
@@ -283,7 +279,7 @@
     Status = makeFailure(FailureCode::Overloaded,
                          "the retry budget of the service is exhausted");
   if (!Status.ok()) {
-    erase(Key);
+    m_Tasks.erase(Key);
     return Status;
   }
   T.m_IsRetry = true;
@@ -295,7 +291,7 @@
 void Scheduler<Placement>::forget(TaskKey Key) {
   auto It = m_Tasks.find(Key);
   if (It != m_Tasks.end() && It->second.m_Phase == Phase::Ended)
-    erase(Key);
+    m_Tasks.erase(Key);
 }
 
 template <PlacementPolicy Placement>
