--- a/Tests/Jobs/WorkerRestartTest.cpp
+++ b/Tests/Jobs/WorkerRestartTest.cpp
@@ -26,7 +26,9 @@
     Events.m_Reachable = [this](bool Reachable) { m_Reachable = Reachable; };
     Events.m_Accepted = [this](RunId) { m_Accepted = true; };
     Events.m_Refused = [](RunId, RefusalReason) {};
-    Events.m_Ended = [this](RunId Run, RunEnd End) { m_Ended[Run] = End; };
+    Events.m_Ended = [this](RunId Run, RunEnd End, const WorkerIncarnation &) {
+      m_Ended[Run] = End;
+    };
     Events.m_Progress = [](RunId, double) {};
     Events.m_StrayEnd = [](const TaskRef &, std::uint32_t, RunEnd) {
       return true;
