Jobs: Stop a run again after its worker has restarted

What callers would see: a cancelled task that runs on. Its worker had confirmed the stop, restarted under its id, and executed a delayed start of the run. The session found the run in the list, took the confirmation of the earlier incarnation for one of the new one, and sent no stop order.

A confirmed stop is now forgotten with the incarnation that confirmed it. An unlisted run that is to be stopped then ends only after the new incarnation has confirmed its stop, so the check for delayed starts is left to accepted runs.

The case StopsARunAgainThatWasStoppedBefore failed before: the run did not end within 10 s.

--- a/Tests/Jobs/WorkerRestartTest.cpp
+++ b/Tests/Jobs/WorkerRestartTest.cpp
@@ -154,4 +154,16 @@
   BOOST_TEST(m_Worker.isRunning(m_Task));
 }
 
+BOOST_AUTO_TEST_CASE(StopsARunAgainThatWasStoppedBefore) {
+  startWithADelayedAttempt();
+  m_Session->stop(1);
+  // The stop is confirmed, and its effect is lost with the incarnation.
+  m_Loop.io().poll_one();
+  m_Worker.restart();
+  m_Worker.executeDelayedStarts();
+  waitUntil([this] { return m_Ended.contains(1); });
+  BOOST_TEST(!m_Worker.isRunning(m_Task));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Stopped));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -460,11 +460,11 @@
       continue;
     // An unlisted run has ended only if the list is complete and was requested
     // after the run was accepted or after its stop was confirmed.
-    bool IsMissing =
-        !Reply.m_HasMoreEnds && Run.m_Accepted && Run.m_ConfirmedAt < SentAt;
+    bool IsMissing = !Reply.m_HasMoreEnds && Run.m_Accepted &&
+                     Run.m_ConfirmedAt < SentAt && !mayStartLater(Run, SentAt);
     bool IsStopped = !Reply.m_HasMoreEnds && Run.m_StopConfirmed &&
                      *Run.m_StopConfirmed < SentAt;
-    if ((IsMissing || IsStopped) && !mayStartLater(Run, SentAt))
+    if (IsMissing || IsStopped)
       EndedRuns.push_back(Id);
   }
   for (RunId Id : EndedRuns)
@@ -485,6 +485,8 @@
   m_LastEndSeen = 0;
   m_KeptEnds.clear();
   m_EndsAfterLease.clear();
+  for (auto &[Id, Run] : m_Runs)
+    Run.m_StopConfirmed.reset();
   ++m_Token;
   m_TokenRaisedAt = EventLoop::now();
   // Delayed orders may have extended the lease of the new incarnation.
@@ -494,8 +496,7 @@
 template <WorkerTransport Transport>
 bool WorkerSession<Transport>::mayStartLater(const SessionRun &Run,
                                              TimePoint SentAt) const {
-  bool HasUnansweredStart = !Run.m_Accepted || Run.m_StartAttempts > 1;
-  return HasUnansweredStart && SentAt < m_TokenRaisedAt;
+  return Run.m_StartAttempts > 1 && SentAt < m_TokenRaisedAt;
 }
 
 template <WorkerTransport Transport>
