Jobs: Use a restarted worker again whose kept end is lost

What callers would see: jobs refused or waiting although a worker is idle. A worker gets no runs while an end of it waits for the end of a lease. If it restarted meanwhile, or if the order to acknowledge such an end came after the restart, nothing announced it again: an idle session asks for no lists, and the end will never be listed.

A restart now announces the worker, and an end that the worker does not keep is ignored, as in acknowledge(). It is reported again should it be listed later.

--- a/Tests/Jobs/WorkerRestartTest.cpp
+++ b/Tests/Jobs/WorkerRestartTest.cpp
@@ -166,4 +166,30 @@
   BOOST_TEST((m_Ended.at(1) == RunEnd::Stopped));
 }
 
+BOOST_AUTO_TEST_SUITE(IsUsedAgain)
+
+BOOST_AUTO_TEST_CASE(WhenItHasForgottenAnEndThatWasKeptUntilItsLeaseEnds) {
+  startWithADelayedAttempt();
+  m_Worker.finish(m_Task);
+  waitUntil([this] { return m_Ended.contains(1); });
+  m_Session->acknowledgeAfterLease(m_Task, 1);
+  BOOST_TEST(!m_Reachable);
+  m_Worker.restart();
+  waitUntil([this] { return m_Reachable; });
+}
+
+BOOST_AUTO_TEST_CASE(WhenAnEndThatItHasForgottenIsAcknowledged) {
+  startWithADelayedAttempt();
+  m_Worker.finish(m_Task);
+  waitUntil([this] { return m_Ended.contains(1); });
+  m_Worker.restart();
+  bool IsListed = false;
+  m_Worker.afterNextRenewal([&] { IsListed = true; });
+  waitUntil([&] { return IsListed; });
+  m_Session->acknowledgeAfterLease(m_Task, 1);
+  waitUntil([this] { return m_Reachable; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -127,7 +127,8 @@
   /// Allows the worker to discard the end of this run.
   void acknowledge(const TaskRef &Task, std::uint32_t Number);
   /// Acknowledges the end only after the worker's lease has expired. Until then
-  /// m_Reachable reports false, so that no runs are started on the worker.
+  /// m_Reachable reports false, so that no runs are started on the worker. Ends
+  /// that the worker does not keep are ignored.
   void acknowledgeAfterLease(const TaskRef &Task, std::uint32_t Number);
 
   /// Updates the address and the labels.
@@ -236,8 +237,8 @@
   TimePoint m_LeaseEnd; ///< Latest end of all leases requested so far.
   std::int64_t m_IncarnationStartMs = 0;
   std::uint64_t m_LastEndSeen = 0; ///< Highest sequence number listed.
-  /// Ends that the worker must keep, by sequence number.
-  std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>> m_KeptEnds;
+  using KeptEnds = std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>>;
+  KeptEnds m_KeptEnds; ///< Ends that the worker must keep, by sequence number.
   std::uint64_t m_LastEndSent = 0; ///< Last acknowledged sequence number.
   /// The ends of m_KeptEnds to be acknowledged once the lease has expired.
   std::vector<std::pair<TaskRef, std::uint32_t>> m_EndsAfterLease;
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -404,6 +404,10 @@
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::acknowledgeAfterLease(const TaskRef &Task,
                                                      std::uint32_t Number) {
+  std::pair Run(Task, Number);
+  if (std::ranges::find(m_KeptEnds, Run, &KeptEnds::value_type::second) ==
+      m_KeptEnds.end())
+    return;
   m_Log.info("end_kept_until_lease_ends", {{"worker", m_Spec.m_Id},
                                            {"task", Task.str()},
                                            {"run", Number},
@@ -484,7 +488,8 @@
   // them. Those that it does not list have ended with the earlier one.
   m_LastEndSeen = 0;
   m_KeptEnds.clear();
-  m_EndsAfterLease.clear();
+  if (!std::exchange(m_EndsAfterLease, {}).empty())
+    m_Events.m_Reachable(reachable());
   for (auto &[Id, Run] : m_Runs)
     Run.m_StopConfirmed.reset();
   ++m_Token;
