--- a/Tests/Jobs/WorkerRestartTest.cpp
+++ b/Tests/Jobs/WorkerRestartTest.cpp
@@ -102,6 +102,19 @@
   BOOST_TEST(!m_Worker.isRunning(m_Task));
 }
 
+BOOST_AUTO_TEST_CASE(OfARunThatWasStoppedBefore) {
+  m_Worker.setPath(ModelWorker::Path::StartsDelayed);
+  m_Session->start(1, m_Task, 1, "spec");
+  waitUntil([this] { return m_Ended.contains(1); });
+  // The owner has to notice the restart of an idle worker.
+  m_Worker.restart();
+  bool IsListed = false;
+  m_Worker.afterNextRenewal([&] { IsListed = true; });
+  waitUntil([&] { return IsListed; });
+  m_Worker.executeDelayedStarts();
+  BOOST_TEST(!m_Worker.isRunning(m_Task));
+}
+
 BOOST_AUTO_TEST_CASE(OfARunThatHasBeenReportedAsEnded) {
   startWithADelayedAttempt();
   m_Worker.restart();
@@ -156,4 +169,42 @@
   BOOST_TEST(m_Worker.isRunning(m_Task));
 }
 
+BOOST_AUTO_TEST_CASE(StopsARunAgainThatWasStoppedBefore) {
+  startWithADelayedAttempt();
+  m_Session->stop(1);
+  // The stop is confirmed, and its effect is lost with the incarnation.
+  m_Loop.io().poll_one();
+  m_Worker.restart();
+  m_Worker.executeDelayedStarts();
+  waitUntil([this] { return m_Ended.contains(1); });
+  BOOST_TEST(!m_Worker.isRunning(m_Task));
+  BOOST_TEST((m_Ended.at(1) == RunEnd::Stopped));
+}
+
+BOOST_AUTO_TEST_SUITE(IsUsedAgain)
+
+BOOST_AUTO_TEST_CASE(WhenItHasForgottenAnEndThatWasKeptUntilItsLeaseEnds) {
+  startWithADelayedAttempt();
+  m_Worker.finish(m_Task);
+  waitUntil([this] { return m_Ended.contains(1); });
+  m_Session->acknowledgeAfterLease(m_Task, 1);
+  BOOST_TEST(!m_Reachable);
+  m_Worker.restart();
+  waitUntil([this] { return m_Reachable; });
+}
+
+BOOST_AUTO_TEST_CASE(WhenAnEndThatItHasForgottenIsAcknowledged) {
+  startWithADelayedAttempt();
+  m_Worker.finish(m_Task);
+  waitUntil([this] { return m_Ended.contains(1); });
+  m_Worker.restart();
+  bool IsListed = false;
+  m_Worker.afterNextRenewal([&] { IsListed = true; });
+  waitUntil([&] { return IsListed; });
+  m_Session->acknowledgeAfterLease(m_Task, 1);
+  waitUntil([this] { return m_Reachable; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -52,6 +52,9 @@
   /// Pause before the second probe of an unresponsive worker.
   double m_ProbeMs = 100;
   double m_MaxProbeMs = 800;
+  /// Time within which an unanswered order may be executed. An idle worker is
+  /// asked for its runs meanwhile, each m_MaxProbeMs.
+  double m_MaxOrderDelayMs = 15000;
 };
 
 /// Mean time until workers answer a start or stop order. Shared by the sessions
@@ -130,7 +133,8 @@
   /// Allows the worker to discard the end of this run.
   void acknowledge(const TaskRef &Task, std::uint32_t Number);
   /// Acknowledges the end only after the worker's lease has expired. Until then
-  /// m_Reachable reports false, so that no runs are started on the worker.
+  /// m_Reachable reports false, so that no runs are started on the worker. Ends
+  /// that the worker does not keep are ignored.
   void acknowledgeAfterLease(const TaskRef &Task, std::uint32_t Number);
 
   /// Updates the address and the labels.
@@ -178,6 +182,8 @@
   void updateWorkerClock(std::int64_t ClockMs);
   /// Returns whether the worker has left an order unanswered recently.
   bool isDoubtful() const;
+  /// Returns whether a start order may still be executed unnoticed.
+  bool mayHaveDelayedStarts() const;
   /// Returns whether answers take so long that repeated orders and shorter
   /// waits would only add load.
   bool isPathSlow() const;
@@ -248,8 +254,8 @@
   TimePoint m_LeaseEnd; ///< Latest end of all leases requested so far.
   std::int64_t m_IncarnationStartMs = 0;
   std::uint64_t m_LastEndSeen = 0; ///< Highest sequence number listed.
-  /// Ends that the worker must keep, by sequence number.
-  std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>> m_KeptEnds;
+  using KeptEnds = std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>>;
+  KeptEnds m_KeptEnds; ///< Ends that the worker must keep, by sequence number.
   std::uint64_t m_LastEndSent = 0; ///< Last acknowledged sequence number.
   /// The ends of m_KeptEnds to be acknowledged once the lease has expired.
   std::vector<std::pair<TaskRef, std::uint32_t>> m_EndsAfterLease;
@@ -260,6 +266,7 @@
   TimePoint m_LastAnswer;
   TimePoint m_LastListAt; ///< Last answer that named the incarnation.
   std::optional<TimePoint> m_UnansweredAt; ///< Of the last unanswered order.
+  std::optional<TimePoint> m_UnansweredStartAt; ///< The same of start orders.
   EventLoop::Timer m_Probe;
   /// Callbacks of orders hold this weakly; they do nothing once the session is
   /// destroyed.
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -86,6 +86,13 @@
              m_Settings.m_DoubtMs;
 }
 
+template <WorkerTransport Transport>
+bool WorkerSession<Transport>::mayHaveDelayedStarts() const {
+  return m_UnansweredStartAt &&
+         millisecondsBetween(*m_UnansweredStartAt, EventLoop::now()) <
+             m_Settings.m_MaxOrderDelayMs;
+}
+
 template <WorkerTransport Transport>
 bool WorkerSession<Transport>::isPathSlow() const {
   return m_Settings.m_RetryAnswerFactor * m_Answers.meanMs() >
@@ -225,6 +232,7 @@
     return;
   case OrderAnswer::NoAnswer:
     m_UnansweredAt = EventLoop::now();
+    m_UnansweredStartAt = m_UnansweredAt;
     if (isStartRepeatable(Run)) {
       sendStart(Id);
       return;
@@ -384,6 +392,10 @@
         [this] { renew(); });
   else if (!m_Runs.empty() || lastAcknowledgeableEnd() > m_LastEndSent)
     renew();
+  else if (mayHaveDelayedStarts())
+    m_Probe = m_Loop.once(
+        EventLoop::Duration(static_cast<int>(m_Settings.m_MaxProbeMs)),
+        [this] { renew(); });
 }
 
 template <WorkerTransport Transport>
@@ -405,6 +417,10 @@
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::acknowledgeAfterLease(const TaskRef &Task,
                                                      std::uint32_t Number) {
+  std::pair Run(Task, Number);
+  if (std::ranges::find(m_KeptEnds, Run, &KeptEnds::value_type::second) ==
+      m_KeptEnds.end())
+    return;
   m_Log.info("end_kept_until_lease_ends", {{"worker", m_Spec.m_Id},
                                            {"task", Task.str()},
                                            {"run", Number},
@@ -463,11 +479,11 @@
       continue;
     // An unlisted run has ended only if the list is complete and was requested
     // after the run was accepted or after its stop was confirmed.
-    bool IsMissing =
-        !Reply.m_HasMoreEnds && Run.m_Accepted && Run.m_ConfirmedAt < SentAt;
+    bool IsMissing = !Reply.m_HasMoreEnds && Run.m_Accepted &&
+                     Run.m_ConfirmedAt < SentAt && !mayStartLater(Run, SentAt);
     bool IsStopped = !Reply.m_HasMoreEnds && Run.m_StopConfirmed &&
                      *Run.m_StopConfirmed < SentAt;
-    if ((IsMissing || IsStopped) && !mayStartLater(Run, SentAt))
+    if (IsMissing || IsStopped)
       EndedRuns.emplace_back(Id, Run.m_On.m_StartMs == m_IncarnationStartMs
                                      ? RunEnd::Lapsed
                                      : lossKind());
@@ -489,7 +505,10 @@
   // them. Those that it does not list have ended with the earlier one.
   m_LastEndSeen = 0;
   m_KeptEnds.clear();
-  m_EndsAfterLease.clear();
+  if (!std::exchange(m_EndsAfterLease, {}).empty())
+    m_Events.m_Reachable(reachable());
+  for (auto &[Id, Run] : m_Runs)
+    Run.m_StopConfirmed.reset();
   ++m_Token;
   m_TokenRaisedAt = EventLoop::now();
   // Delayed orders may have extended the lease of the new incarnation.
@@ -499,8 +518,7 @@
 template <WorkerTransport Transport>
 bool WorkerSession<Transport>::mayStartLater(const SessionRun &Run,
                                              TimePoint SentAt) const {
-  bool HasUnansweredStart = !Run.m_Accepted || Run.m_StartAttempts > 1;
-  return HasUnansweredStart && SentAt < m_TokenRaisedAt;
+  return Run.m_StartAttempts > 1 && SentAt < m_TokenRaisedAt;
 }
 
 template <WorkerTransport Transport>
