Jobs: Limit the lost runs of a stored task by the shared limits

The ledger counted lost runs and crashes beside LossLimits, which limits the attempts of the entry's tasks. One copy of the rule is enough; the tests of the ledger pass unchanged in what they check.

--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -9,22 +9,16 @@
 
 namespace auburnhub {
 
-std::uint32_t JobLedger::countLostRuns(const LedgerJob &Job,
-                                       std::uint32_t TaskIndex) {
-  const auto &Lost = Job.m_Progress.m_Lost;
-  return static_cast<std::uint32_t>(
-      std::count_if(Lost.begin(), Lost.end(), [TaskIndex](const LostRun &Run) {
-        return Run.m_Task == TaskIndex;
-      }));
-}
-
-std::uint32_t JobLedger::countCrashes(const LedgerJob &Job,
-                                      std::uint32_t TaskIndex) {
-  const auto &Lost = Job.m_Progress.m_Lost;
-  return static_cast<std::uint32_t>(
-      std::count_if(Lost.begin(), Lost.end(), [TaskIndex](const LostRun &Run) {
-        return Run.m_Task == TaskIndex && Run.m_HasCrashed;
-      }));
+LossCount JobLedger::countLosses(const LedgerJob &Job,
+                                 std::uint32_t TaskIndex) {
+  LossCount Result;
+  for (const LostRun &Run : Job.m_Progress.m_Lost) {
+    if (Run.m_Task != TaskIndex)
+      continue;
+    ++Result.m_Losses;
+    Result.m_Crashes += Run.m_HasCrashed ? 1 : 0;
+  }
+  return Result;
 }
 
 LostRun *JobLedger::findLostRun(LedgerJob &Job, std::uint32_t TaskIndex,
@@ -56,16 +50,10 @@
 
 double JobLedger::verdictWaitMs(const LedgerJob &Job,
                                 std::uint32_t TaskIndex) const {
-  std::uint32_t LostRuns = countLostRuns(Job, TaskIndex);
-  if (LostRuns < 2 || lastLostRun(Job, TaskIndex)->m_HasCrashed)
+  std::uint32_t Losses = countLosses(Job, TaskIndex).m_Losses;
+  if (Losses < 2 || lastLostRun(Job, TaskIndex)->m_HasCrashed)
     return 0;
-  return m_Parameters.m_CrashVerdictMs * std::exp2(LostRuns - 2);
-}
-
-bool JobLedger::mustGiveUp(const LedgerJob &Job,
-                           std::uint32_t TaskIndex) const {
-  return countLostRuns(Job, TaskIndex) >= m_Parameters.m_MaxLostRuns ||
-         countCrashes(Job, TaskIndex) >= m_Parameters.m_MaxCrashes;
+  return m_Parameters.m_CrashVerdictMs * std::exp2(Losses - 2);
 }
 
 void JobLedger::giveUpIfExhausted(std::int64_t WallMs, LedgerJob &Job,
@@ -138,8 +126,7 @@
   }
   setState(Job, TaskIndex, TaskState::AwaitingVerdict, addMs(Now, WaitMs));
   m_Effects.emplace_back(LedgerTaskHeld{taskRefOf(Job, TaskIndex),
-                                        countLostRuns(Job, TaskIndex),
-                                        countCrashes(Job, TaskIndex), WaitMs});
+                                        countLosses(Job, TaskIndex), WaitMs});
 }
 
 void JobLedger::workerSeen(TimePoint Now, std::int64_t WallMs,
--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -40,7 +40,7 @@
   Result.m_Step = Request.m_Steps[Ref.m_Step];
   Result.m_AgeMs = millisecondsBetween(Job.m_Received, Now);
   Result.m_AvoidedWorkers = Job.m_Tasks[TaskIndex].m_AvoidedWorkers;
-  Result.m_LostRuns = countLostRuns(Job, TaskIndex);
+  Result.m_LostRuns = countLosses(Job, TaskIndex).m_Losses;
   return Result;
 }
 
--- a/Tests/Jobs/JobLedgerLossesTest.cpp
+++ b/Tests/Jobs/JobLedgerLossesTest.cpp
@@ -242,7 +242,7 @@
   loseRun(*Second, worker(2), "other");
   store();
   BOOST_REQUIRE(m_HeldTasks.size() == 1U);
-  BOOST_TEST(m_HeldTasks.front().m_LostRuns == 2U);
+  BOOST_TEST(m_HeldTasks.front().m_Count.m_Losses == 2U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Jobs/JobLedgerPropertyTest.cpp
+++ b/Tests/Jobs/JobLedgerPropertyTest.cpp
@@ -22,6 +22,8 @@
 /// Machines on which workers run, one incarnation after the other.
 constexpr int Machines = 4;
 
+const LossLimits Limits = JobLedgerParameters().m_LossLimits;
+
 /// What the first task of a job does to each worker that runs it.
 enum class Harm { None, Crash, CutOff };
 
@@ -85,7 +87,7 @@
     m_Crashes.clear();
     for (int Second = 0; Second < 110; ++Second) {
       while (auto Task = startTask())
-        RC_ASSERT(m_Crashes[*Task] < JobLedgerParameters().m_MaxCrashes);
+        RC_ASSERT(m_Crashes[*Task] < Limits.m_MaxCrashes);
       while (!m_LiveRuns.empty())
         endRun(m_LiveRuns.begin());
       for (const EndedRun &Report : std::vector(m_EndedRuns))
@@ -149,8 +151,7 @@
     RC_ASSERT(!m_DoneAcknowledged.contains(Task->task()));
     RC_ASSERT(m_FailuresAcknowledged[Task->task()] <
               Task->m_Policy.m_MaxAttempts);
-    RC_ASSERT(m_LossesAcknowledged[Task->task()] <
-              JobLedgerParameters().m_MaxLostRuns);
+    RC_ASSERT(m_LossesAcknowledged[Task->task()] < Limits.m_MaxLosses);
     RC_ASSERT(Task->m_LostRuns >= m_LossesAcknowledged[Task->task()]);
     RC_ASSERT(Task->m_LostRuns <= m_LossesReported[Task->task()].size());
     for (const auto &[Key, LiveRun] : m_LiveRuns)
@@ -346,7 +347,6 @@
 
   /// Returns whether a job may fail because of the lost runs of its tasks.
   bool hasCauseToFail(const std::string &Id) const {
-    JobLedgerParameters Limits;
     return std::any_of(
         m_LossesReported.begin(), m_LossesReported.end(),
         [&](const auto &Entry) {
@@ -355,7 +355,7 @@
               std::count_if(Losses.begin(), Losses.end(), [&](const auto &L) {
                 return hasRestarted(L.second);
               });
-          return Task.m_Job == Id && (Losses.size() >= Limits.m_MaxLostRuns ||
+          return Task.m_Job == Id && (Losses.size() >= Limits.m_MaxLosses ||
                                       Crashes >= Limits.m_MaxCrashes);
         });
   }
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -2,6 +2,7 @@
 #define AUBURNHUB_JOBS_JOBLEDGER_H
 
 #include "auburnhub/Jobs/StoredJob.h"
+#include "auburnhub/Policy/LossLimits.h"
 #include "auburnhub/Policy/Types.h"
 
 #include "absl/status/status.h"
@@ -35,11 +36,9 @@
   double m_TakeoverDoubtMs = 4000;
   double m_OwnerDoubtMs = 3200;
   double m_WorkerDoubtMs = 1500;
-  /// A task is given up, and its job fails, once this many workers have crashed
-  /// under it, or this many of its runs have ended with their worker for
-  /// whatever reason.
-  std::uint32_t m_MaxCrashes = 2;
-  std::uint32_t m_MaxLostRuns = 5;
+  /// A task is given up, and its job fails, once this many of its runs have
+  /// ended with their worker, or with a crash of their worker.
+  LossLimits m_LossLimits{/*m_MaxLosses=*/5, /*m_MaxCrashes=*/2};
   /// How long a task that has lost two runs waits for evidence that the last
   /// worker has crashed; doubled with each further lost run. Longer than a
   /// crashed worker takes to register again.
@@ -118,9 +117,8 @@
 /// A task waits for evidence that its last worker has crashed.
 struct LedgerTaskHeld {
   TaskRef m_Task;
-  std::uint32_t m_LostRuns = 0;
-  std::uint32_t m_Crashes = 0; ///< How many of them are confirmed crashes.
-  double m_HeldForMs = 0;      ///< Maximum time of the wait.
+  LossCount m_Count;
+  double m_HeldForMs = 0; ///< Maximum time of the wait.
 };
 
 /// A task is given up because of its lost runs; its job fails.
@@ -317,10 +315,7 @@
                         StoredJobState State);
   void startBackoff(TimePoint Now, LedgerJob &Job, std::uint32_t TaskIndex);
   // Lost runs.
-  static std::uint32_t countLostRuns(const LedgerJob &Job,
-                                     std::uint32_t TaskIndex);
-  static std::uint32_t countCrashes(const LedgerJob &Job,
-                                    std::uint32_t TaskIndex);
+  static LossCount countLosses(const LedgerJob &Job, std::uint32_t TaskIndex);
   /// Returns the run with this number if it was lost, or nullptr.
   static LostRun *findLostRun(LedgerJob &Job, std::uint32_t TaskIndex,
                               std::uint32_t Number);
@@ -331,8 +326,10 @@
                          const WorkerIncarnation &Seen) const;
   /// Returns how long the task must wait for evidence of a crash, or 0.
   double verdictWaitMs(const LedgerJob &Job, std::uint32_t TaskIndex) const;
-  /// Returns whether the task has used up its lost runs or crashes.
-  bool mustGiveUp(const LedgerJob &Job, std::uint32_t TaskIndex) const;
+  /// Returns whether the task has reached a limit of its lost runs.
+  bool mustGiveUp(const LedgerJob &Job, std::uint32_t TaskIndex) const {
+    return m_Parameters.m_LossLimits.areReached(countLosses(Job, TaskIndex));
+  }
   /// Gives the task up if it must be and no run of it may be active.
   void giveUpIfExhausted(std::int64_t WallMs, LedgerJob &Job,
                          std::uint32_t TaskIndex);
--- a/include/auburnhub/Node/LedgerPartitionLossesImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionLossesImpl.h
@@ -48,8 +48,8 @@
   m_Log.warning("stored_task_held",
                 {{"task", Effect.m_Task.str()},
                  {"reason", "the last worker may have crashed"},
-                 {"lost_runs", Effect.m_LostRuns},
-                 {"crashes", Effect.m_Crashes},
+                 {"lost_runs", Effect.m_Count.m_Losses},
+                 {"crashes", Effect.m_Count.m_Crashes},
                  {"for_ms", std::round(Effect.m_HeldForMs)},
                  {"epoch", m_Claim.m_Epoch}});
 }
