Jobs: Start no task beside a run for the failure of an older one

A task of a stored job could have two runs at a time: owner 1 is lost to the keeper, the task is started again at owner 2 after the doubt period, another node takes over the partition, and owner 1 reports that its run has failed. The new keeper took that run for the last one, ended the doubt and started the task 30 ms later, while the run at owner 2 was alive and had not been reported yet. Found by reading; no play has shown it.

Cause: after a takeover the number of the last run is not known, and a failure with any higher number was taken for the current run. The failure is now counted, as before, but ends the doubt only if its run is the one in doubt; a task whose last run is unknown waits for the rest of the takeover's 4 s.

StartsNothingBesideARunForAnOlderFailure failed before: the task was offered 100 ms after the report.

--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -110,13 +110,10 @@
   Job.m_HasStarted = true;
   if (!Worker.empty())
     Task.m_AvoidedWorkers.push_back(Worker);
-  bool IsCurrentRun = Task.m_Number == End.m_Number;
-  if (Task.m_State == TaskState::InDoubt && Task.m_Number < End.m_Number) {
-    Task.m_Number = End.m_Number;
-    IsCurrentRun = true;
-  }
-  if (IsCurrentRun && (Task.m_State == TaskState::Running ||
-                       Task.m_State == TaskState::InDoubt))
+  // A task in doubt after a takeover may have a later run than the reported
+  // one.
+  if (Task.m_Number == End.m_Number && (Task.m_State == TaskState::Running ||
+                                        Task.m_State == TaskState::InDoubt))
     setState(Job, TaskIndex, TaskState::Ending);
   m_NextBatch.m_Urgent = true;
   auto Failures = std::count_if(
--- a/Tests/Jobs/JobLedgerPropertyTest.cpp
+++ b/Tests/Jobs/JobLedgerPropertyTest.cpp
@@ -32,7 +32,7 @@
 class RandomLedger : public LedgerFixture {
 public:
   void step() {
-    switch (*rc::gen::inRange(0, 17)) {
+    switch (*rc::gen::inRange(0, 18)) {
     case 0:
     case 1:
       submitJob();
@@ -73,6 +73,9 @@
     case 15:
       restartWorker();
       break;
+    case 16:
+      loseOwner();
+      break;
     default:
       if (*rc::gen::inRange(0, 4) == 0)
         crash();
@@ -292,13 +295,27 @@
   void crash() {
     if (m_Ledger->isAppending() && *rc::gen::arbitrary<bool>())
       write();
-    for (auto &[Key, LiveRun] : m_LiveRuns)
-      LiveRun.m_LapsesAt =
-          std::min(LiveRun.m_LapsesAt, addMs(m_Now, MaxUnobservedRunMs));
+    leaveRunsUnobserved();
     takeOver();
     RC_ASSERT(m_LoadOk);
     seeAllWorkers();
-    // The new keeper reaches some owners, which report their runs.
+    reportSomeRuns();
+  }
+
+  /// Breaks the connection to the owners. Some of them connect again.
+  void loseOwner() {
+    leaveRunsUnobserved();
+    m_Ledger->ownerLost(m_Now, "owner");
+    reportSomeRuns();
+  }
+
+  void leaveRunsUnobserved() {
+    for (auto &[Key, LiveRun] : m_LiveRuns)
+      LiveRun.m_LapsesAt =
+          std::min(LiveRun.m_LapsesAt, addMs(m_Now, MaxUnobservedRunMs));
+  }
+  /// The keeper reaches some owners, which report their runs.
+  void reportSomeRuns() {
     for (auto &[Key, LiveRun] : m_LiveRuns)
       if (*rc::gen::arbitrary<bool>()) {
         m_StoppedRuns.clear();
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -309,6 +309,21 @@
   BOOST_TEST(m_AcknowledgedEnds.back().m_Superseded);
 }
 
+BOOST_AUTO_TEST_CASE(StartsNothingBesideARunForAnOlderFailure) {
+  auto First = start("first-owner");
+  start("second-owner");
+  m_Ledger->ownerLost(m_Now, "first-owner");
+  advanceTime(4000);
+  auto Again = start("second-owner");
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST((Again->task() == First->task()));
+  takeOver();
+  endRun(*First, StoredRunEnd::Failed, "first-owner");
+  store();
+  advanceTime(100);
+  BOOST_TEST(!start().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(StopsRunsOfFinishedJobs) {
   auto First = start();
   cancel("a");
