--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -40,7 +40,7 @@
   Result.m_Step = Request.m_Steps[Ref.m_Step];
   Result.m_AgeMs = millisecondsBetween(Job.m_Received, Now);
   Result.m_AvoidedWorkers = Job.m_Tasks[TaskIndex].m_AvoidedWorkers;
-  Result.m_LostRuns = countLostRuns(Job, TaskIndex);
+  Result.m_LostRuns = countLosses(Job, TaskIndex).m_Losses;
   return Result;
 }
 
@@ -110,13 +110,10 @@
   Job.m_HasStarted = true;
   if (!Worker.empty())
     Task.m_AvoidedWorkers.push_back(Worker);
-  bool IsCurrentRun = Task.m_Number == End.m_Number;
-  if (Task.m_State == TaskState::InDoubt && Task.m_Number < End.m_Number) {
-    Task.m_Number = End.m_Number;
-    IsCurrentRun = true;
-  }
-  if (IsCurrentRun && (Task.m_State == TaskState::Running ||
-                       Task.m_State == TaskState::InDoubt))
+  // A task in doubt after a takeover may have a later run than the reported
+  // one.
+  if (Task.m_Number == End.m_Number && (Task.m_State == TaskState::Running ||
+                                        Task.m_State == TaskState::InDoubt))
     setState(Job, TaskIndex, TaskState::Ending);
   m_NextBatch.m_Urgent = true;
   auto Failures = std::count_if(
