Jobs: Give up a best-effort job under which two workers have crashed

A best-effort job whose task crashes its workers was started again every 1.5 s until the caller's deadline, each time on another worker. Stored jobs are given up after two crashes, best-effort jobs were not counted.

The owner now counts the lost runs of each task, and how many of the lost workers have crashed: a later incarnation is registered at their address. The job fails when the limits of stored jobs are reached, which both now take from TaskLossLimits, decided by the rule that endpoints' tasks use; the ledger's limits are the same as before. A third run that has begun is not stopped by late evidence. Workers that were only cut off do not count as crashed.

Without the limit, IsGivenUpWhenTwoWorkersHaveCrashed and IsGivenUpWhileItWaitsWhenTheSecondCrashIsKnown fail: the job does not end.

--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -50,8 +50,7 @@
                                   const WorkerIncarnation &Seen) const {
   auto LatestStartMs = Run.m_ReportedAtMs +
                        static_cast<std::int64_t>(m_Parameters.m_MaxRestartMs);
-  return Run.m_On.m_Address == Seen.m_Address && Run.m_On.m_StartMs > 0 &&
-         Run.m_On.m_StartMs < Seen.m_StartMs && Seen.m_StartMs <= LatestStartMs;
+  return Seen.isSuccessorOf(Run.m_On) && Seen.m_StartMs <= LatestStartMs;
 }
 
 double JobLedger::verdictWaitMs(const LedgerJob &Job,
@@ -64,8 +63,9 @@
 
 bool JobLedger::mustGiveUp(const LedgerJob &Job,
                            std::uint32_t TaskIndex) const {
-  return countLostRuns(Job, TaskIndex) >= m_Parameters.m_MaxLostRuns ||
-         countCrashes(Job, TaskIndex) >= m_Parameters.m_MaxCrashes;
+  LossLimits Limits{m_Parameters.m_MaxLostRuns, m_Parameters.m_MaxCrashes};
+  return Limits.areReached(
+      {countLostRuns(Job, TaskIndex), countCrashes(Job, TaskIndex)});
 }
 
 void JobLedger::giveUpIfExhausted(std::int64_t WallMs, LedgerJob &Job,
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -27,6 +27,7 @@
 
 void JobScheduler::putWorker(TimePoint Now, const WorkerSpec &Spec) {
   m_Workers.put(Spec);
+  giveUpLostTasks(Now);
   advance(Now);
 }
 
@@ -140,7 +141,7 @@
   ActiveTask &Task = Job.m_Tasks.emplace_back();
   Task.m_Ref = Stored.task();
   Task.m_LastNumber = Stored.m_Number - 1;
-  Task.m_LostRuns = Stored.m_LostRuns;
+  Task.m_Losses.m_Losses = Stored.m_LostRuns;
   Task.m_AvoidedWorkers.insert(Stored.m_AvoidedWorkers.begin(),
                                Stored.m_AvoidedWorkers.end());
   Job.m_UnfinishedTasks = 1;
--- a/Source/Jobs/JobSchedulerIsolation.cpp
+++ b/Source/Jobs/JobSchedulerIsolation.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 /// \file
-/// The part of JobScheduler that runs tasks alone.
+/// The part of JobScheduler that handles tasks which were lost with a worker.
 
 namespace auburnhub {
 
@@ -86,4 +86,37 @@
   return HasReleased;
 }
 
+bool JobScheduler::mustGiveUp(ActiveTask &Task) const {
+  Task.m_Losses.m_Crashes += static_cast<std::uint32_t>(
+      std::erase_if(Task.m_LostWith, [this](const WorkerIncarnation &Lost) {
+        return m_Workers.hasSuccessor(Lost);
+      }));
+  return TaskLossLimits.areReached(Task.m_Losses);
+}
+
+void JobScheduler::onTaskLost(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
+                              const WorkerIncarnation &With) {
+  ++Task.m_Losses.m_Losses;
+  Task.m_LostWith.push_back(With);
+  if (mustGiveUp(Task))
+    finish(Now, Job, JobOutcome::Failed, JobReason::AttemptsSpent);
+  else
+    requeue(Now, Job, Task);
+}
+
+void JobScheduler::giveUpLostTasks(TimePoint Now) {
+  std::vector<ActiveJob *> GivenUp;
+  for (auto &[Id, Job] : m_Jobs) {
+    auto IsGivenUp = [this](ActiveTask &Task) {
+      return Task.m_State == TaskState::Waiting && !Task.m_LostWith.empty() &&
+             mustGiveUp(Task);
+    };
+    auto &Tasks = Job->m_Tasks;
+    if (std::any_of(Tasks.begin(), Tasks.end(), IsGivenUp))
+      GivenUp.push_back(Job.get());
+  }
+  for (ActiveJob *Job : GivenUp)
+    finish(Now, *Job, JobOutcome::Failed, JobReason::AttemptsSpent);
+}
+
 } // namespace auburnhub
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -113,10 +113,10 @@
       onTaskDone(Now, Job, Task);
     else if (End == RunEnd::Failed)
       onTaskFailed(Now, Job, Task, Run.m_Worker);
-    else {
-      Task.m_LostRuns += End == RunEnd::Lost;
+    else if (End == RunEnd::Lost)
+      onTaskLost(Now, Job, Task, LostWith);
+    else
       requeue(Now, Job, Task);
-    }
   }
   advance(Now);
 }
--- a/Source/Jobs/WorkerRegistry.cpp
+++ b/Source/Jobs/WorkerRegistry.cpp
@@ -117,6 +117,13 @@
   return Best;
 }
 
+bool WorkerRegistry::hasSuccessor(const WorkerIncarnation &Earlier) const {
+  return std::any_of(
+      m_Workers.begin(), m_Workers.end(), [&](const auto &Entry) {
+        return Entry.second.m_Spec.incarnation().isSuccessorOf(Earlier);
+      });
+}
+
 bool WorkerRegistry::fitsAnyIdleWorker(std::string_view Service,
                                        const JobStep &Step) const {
   return std::any_of(m_Workers.begin(), m_Workers.end(),
--- a/Tests/Jobs/LostTaskTest.cpp
+++ b/Tests/Jobs/LostTaskTest.cpp
@@ -23,6 +23,18 @@
     setReachable(Order.m_Worker, false);
     end(Order.m_Run, RunEnd::Lost, {Order.m_Worker, Order.m_Worker, 1});
   }
+
+  /// Registers the next incarnation of a worker under another id.
+  void restart(const std::string &Worker) {
+    WorkerSpec Spec;
+    Spec.m_Id = Worker + "-next";
+    Spec.m_Service = "tile-orders";
+    Spec.m_Address = Worker;
+    Spec.m_IncarnationStartMs = 2;
+    m_Scheduler.removeWorker(Worker);
+    m_Scheduler.putWorker(m_Now, Spec);
+    collect();
+  }
 };
 
 } // namespace
@@ -220,4 +232,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OfABestEffortJob)
+
+BOOST_AUTO_TEST_CASE(IsGivenUpWhenTwoWorkersHaveCrashed) {
+  for (const char *Worker : {"w1", "w2", "w3"})
+    addWorker(Worker);
+  submit(job("a", 1));
+  loseRun();
+  restart(m_Starts[0].m_Worker);
+  BOOST_REQUIRE(m_Starts.size() == 2U);
+  advanceTime(500);
+  loseRun();
+  BOOST_TEST(m_Starts.size() == 3U);
+  restart(m_Starts[1].m_Worker);
+  // The third run may still succeed.
+  BOOST_TEST(m_FinishedJobs.empty());
+  loseRun();
+  BOOST_REQUIRE(isFinished("a", JobOutcome::Failed));
+  BOOST_TEST((m_FinishedJobs["a"][0].m_Reason == JobReason::AttemptsSpent));
+  BOOST_TEST(m_Starts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(IsGivenUpWhileItWaitsWhenTheSecondCrashIsKnown) {
+  addWorker("w1", 6000);
+  addWorker("w2", 6000);
+  addWorker("w3", 6000);
+  submit(job("busy", 1));
+  submit(job("a", 1));
+  loseRun();
+  BOOST_REQUIRE(m_Starts.size() == 3U);
+  loseRun();
+  // No worker is idle for a third run.
+  BOOST_TEST(m_Starts.size() == 3U);
+  restart(m_Starts[1].m_Worker);
+  BOOST_TEST(!m_FinishedJobs.contains("a"));
+  restart(m_Starts[2].m_Worker);
+  BOOST_TEST(isFinished("a", JobOutcome::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfItsWorkersWereOnlyCutOff) {
+  addWorker("w1");
+  submit(job("a", 1));
+  for (int I = 0; I < 3; ++I) {
+    loseRun();
+    setReachable("w1", true);
+  }
+  BOOST_REQUIRE(m_Starts.size() == 4U);
+  end(m_Starts[3].m_Run, RunEnd::Done);
+  BOOST_TEST(isFinished("a", JobOutcome::Completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNHUB_JOBS_JOB_H
 #define AUBURNHUB_JOBS_JOB_H
 
+#include "auburnhub/Policy/LossLimits.h"
+
 #include "absl/status/status.h"
 
 #include <cstdint>
@@ -171,6 +173,12 @@
   std::int64_t m_StartMs = 0;
   bool operator==(const WorkerIncarnation &) const = default;
 
+  /// Returns whether this incarnation shows that the earlier one has ended.
+  bool isSuccessorOf(const WorkerIncarnation &Earlier) const {
+    return m_Address == Earlier.m_Address && Earlier.m_StartMs > 0 &&
+           Earlier.m_StartMs < m_StartMs;
+  }
+
   template <typename Visitor> void fields(Visitor &V) {
     V("worker", m_Worker);
     V("address", m_Address);
@@ -178,6 +186,10 @@
   }
 };
 
+/// Limits of the runs that a task may lose together with its worker. The task
+/// is also given up without a known crash, because a worker may never return.
+inline constexpr LossLimits TaskLossLimits{.m_MaxLosses = 5, .m_MaxCrashes = 2};
+
 /// A worker as described by its registration.
 struct WorkerSpec {
   std::string m_Id;
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -38,8 +38,8 @@
   /// A task is given up, and its job fails, once this many workers have crashed
   /// under it, or this many of its runs have ended with their worker for
   /// whatever reason.
-  std::uint32_t m_MaxCrashes = 2;
-  std::uint32_t m_MaxLostRuns = 5;
+  std::uint32_t m_MaxCrashes = TaskLossLimits.m_MaxCrashes;
+  std::uint32_t m_MaxLostRuns = TaskLossLimits.m_MaxLosses;
   /// How long a task that has lost two runs waits for evidence that the last
   /// worker has crashed; doubled with each further lost run. Longer than a
   /// crashed worker takes to register again.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -166,7 +166,9 @@
     RunId m_Run = 0;
     std::uint32_t m_LastNumber = 0;
     std::uint32_t m_Failures = 0;
-    std::uint32_t m_LostRuns = 0; ///< Runs that ended with their worker.
+    LossCount m_Losses; ///< Runs that ended with their worker.
+    /// Lost workers of a best-effort job that are not known to have crashed.
+    std::vector<WorkerIncarnation> m_LostWith;
     /// Workers on which the task has failed or stalled.
     std::set<std::string> m_AvoidedWorkers;
   };
@@ -231,7 +233,7 @@
   void startTasks(TimePoint Now, ActiveJob &Job);
   bool startTask(TimePoint Now, ActiveJob &Job, std::size_t Index);
   static bool mustRunAlone(const ActiveTask &Task) {
-    return Task.m_LostRuns > 0;
+    return Task.m_Losses.m_Losses > 0;
   }
   /// Returns whether a worker is set aside for the task.
   bool hasWorkerSetAside(const ActiveJob &Job, std::size_t Task) const;
@@ -273,6 +275,12 @@
   void onTaskDone(TimePoint Now, ActiveJob &Job, ActiveTask &Task);
   void onTaskFailed(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
                     const std::string &Worker);
+  void onTaskLost(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
+                  const WorkerIncarnation &With);
+  /// Returns whether the task has lost too many workers to be started again.
+  bool mustGiveUp(ActiveTask &Task) const;
+  /// Fails best-effort jobs with a waiting task that must be given up.
+  void giveUpLostTasks(TimePoint Now);
   void learnRunTime(const ActiveRun &Run, TimePoint Now);
 
   JobParameters m_Parameters;
--- a/include/auburnhub/Jobs/WorkerRegistry.h
+++ b/include/auburnhub/Jobs/WorkerRegistry.h
@@ -84,6 +84,9 @@
   static bool meetsWhenIdle(const WorkerRecord &Worker,
                             std::string_view Service, const JobStep &Step);
 
+  /// Returns whether a later incarnation is registered at the same address.
+  bool hasSuccessor(const WorkerIncarnation &Earlier) const;
+
   /// Returns whether a task of the step would fit on some worker of the service
   /// if that worker were idle.
   bool fitsAnyIdleWorker(std::string_view Service, const JobStep &Step) const;
