Jobs: Let more lost tasks run alone once some have lost no worker

When many workers were lost at once, healthy tasks waited for one another: only one task of a service ran alone at a time.

Each task that ran alone and lost no worker now lets one more of its service run alone at a time, up to a quarter of the owner's workers; the next one that is lost resets this to one. Where deadly tasks are frequent it stays near one.

MoreAtATimeOnceSomeHaveLostNoWorker failed before: after the first success one task was started instead of two.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -282,6 +282,7 @@
   checkDeadlines(Now);
   if (releaseWorkersSetAside())
     startWaitingTasks(Now);
+  eraseUnusedIsolations();
 }
 
 JobScheduler::Rank JobScheduler::rank(TimePoint Now, const ActiveJob &Job,
@@ -354,11 +355,11 @@
   };
   Requirements.m_RunsAlone = mustRunAlone(Task);
   if (Requirements.m_RunsAlone) {
-    const Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
-    if (Isolated.m_Run != 0)
+    if (!mayIsolate(Job.m_Request.m_Policy.m_Service))
       return false;
     if (hasWorkerSetAside(Job, Index))
-      Requirements.m_SetAsideWorker = Isolated.m_Worker;
+      Requirements.m_SetAsideWorker =
+          m_Isolations.at(Job.m_Request.m_Policy.m_Service).m_Worker;
   }
   std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Requirements);
   if (!Choice && !Task.m_AvoidedWorkers.empty()) {
--- a/Source/Jobs/JobSchedulerIsolation.cpp
+++ b/Source/Jobs/JobSchedulerIsolation.cpp
@@ -41,20 +41,56 @@
   Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
   if (hasWorkerSetAside(Job, Task))
     releaseWorkerSetAside(Isolated);
-  Isolated.m_Run = Job.m_Tasks[Task].m_Run;
+  Isolated.m_Runs.insert(Job.m_Tasks[Task].m_Run);
   Worker.m_SetAside = true;
 }
 
+bool JobScheduler::mayIsolate(const std::string &Service) const {
+  auto Found = m_Isolations.find(Service);
+  if (Found == m_Isolations.end() || Found->second.m_Runs.empty())
+    return true;
+  const auto &Workers = m_Workers.all();
+  auto Usable = static_cast<double>(
+      std::count_if(Workers.begin(), Workers.end(), [&](const auto &Entry) {
+        return Entry.second.m_Spec.m_Service == Service &&
+               Entry.second.m_Reachable;
+      }));
+  auto MaxRuns =
+      static_cast<std::size_t>(m_Parameters.m_MaxIsolatedShare * Usable);
+  return Found->second.m_Runs.size() <
+         std::min(MaxRuns, Found->second.m_MaxRuns);
+}
+
+JobScheduler::Isolation *JobScheduler::findIsolation(RunId Id) {
+  auto Found = std::find_if(
+      m_Isolations.begin(), m_Isolations.end(),
+      [Id](const auto &Entry) { return Entry.second.m_Runs.contains(Id); });
+  return Found == m_Isolations.end() ? nullptr : &Found->second;
+}
+
+void JobScheduler::learnIsolation(RunId Id, RunEnd End) {
+  Isolation *Isolated = findIsolation(Id);
+  if (Isolated && End == RunEnd::Lost)
+    Isolated->m_MaxRuns = 1;
+  else if (Isolated && (End == RunEnd::Done || End == RunEnd::Failed))
+    ++Isolated->m_MaxRuns;
+}
+
 void JobScheduler::endIsolatedRun(RunId Id) {
-  auto IsOfRun = [Id](const auto &Entry) { return Entry.second.m_Run == Id; };
-  auto Found = std::find_if(m_Isolations.begin(), m_Isolations.end(), IsOfRun);
-  if (Found == m_Isolations.end())
+  Isolation *Isolated = findIsolation(Id);
+  if (!Isolated)
     return;
-  Found->second.m_Run = 0;
+  Isolated->m_Runs.erase(Id);
   if (WorkerRecord *Worker = m_Workers.find(m_Runs.at(Id).m_Worker))
     Worker->m_SetAside = false;
 }
 
+void JobScheduler::eraseUnusedIsolations() {
+  std::erase_if(m_Isolations, [](const auto &Entry) {
+    return Entry.second.m_Runs.empty() && Entry.second.m_Worker.empty();
+  });
+}
+
 void JobScheduler::releaseWorkerSetAside(Isolation &Isolated) {
   if (WorkerRecord *Worker = m_Workers.find(Isolated.m_Worker))
     Worker->m_SetAside = false;
@@ -63,8 +99,7 @@
 
 bool JobScheduler::releaseWorkersSetAside() {
   bool HasReleased = false;
-  for (auto It = m_Isolations.begin(); It != m_Isolations.end();) {
-    auto &[Service, Isolated] = *It;
+  for (auto &[Service, Isolated] : m_Isolations) {
     auto Job = m_Jobs.find(Isolated.m_Job);
     const WorkerRecord *Worker = m_Workers.find(Isolated.m_Worker);
     bool IsWaiting =
@@ -80,8 +115,6 @@
       releaseWorkerSetAside(Isolated);
       HasReleased = true;
     }
-    bool IsUnused = Isolated.m_Run == 0 && Isolated.m_Worker.empty();
-    It = IsUnused ? m_Isolations.erase(It) : std::next(It);
   }
   return HasReleased;
 }
--- a/Tests/Jobs/LostTaskTest.cpp
+++ b/Tests/Jobs/LostTaskTest.cpp
@@ -111,6 +111,26 @@
   BOOST_TEST(m_Starts[5].m_Task.m_Index == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(MoreAtATimeOnceSomeHaveLostNoWorker) {
+  for (int Worker = 0; Worker < 16; ++Worker)
+    addWorker("w" + std::to_string(Worker));
+  for (std::uint32_t Index = 0; Index < 16; ++Index)
+    submitLost(Index);
+  BOOST_REQUIRE(m_Starts.size() == 1U);
+  end(m_Starts[0].m_Run, RunEnd::Done);
+  BOOST_REQUIRE(m_Starts.size() == 3U);
+  for (std::size_t I = 1; I < 6; ++I)
+    end(m_Starts[I].m_Run, RunEnd::Done);
+  // Never on more than a quarter of the workers.
+  BOOST_REQUIRE(m_Starts.size() == 10U);
+  loseRun();
+  for (std::size_t I = 6; I < 8; ++I)
+    end(m_Starts[I].m_Run, RunEnd::Stopped);
+  BOOST_TEST(m_Starts.size() == 10U);
+  end(m_Starts[8].m_Run, RunEnd::Stopped);
+  BOOST_TEST(m_Starts.size() == 11U);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutBlameForTheWorker) {
   addWorker("w1");
   for (std::uint32_t Index = 0; Index < 5; ++Index) {
