--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -44,8 +44,7 @@
                                   const WorkerIncarnation &Seen) const {
   auto LatestStartMs = Run.m_ReportedAtMs +
                        static_cast<std::int64_t>(m_Parameters.m_MaxRestartMs);
-  return Run.m_On.m_Address == Seen.m_Address && Run.m_On.m_StartMs > 0 &&
-         Run.m_On.m_StartMs < Seen.m_StartMs && Seen.m_StartMs <= LatestStartMs;
+  return Seen.isSuccessorOf(Run.m_On) && Seen.m_StartMs <= LatestStartMs;
 }
 
 double JobLedger::verdictWaitMs(const LedgerJob &Job,
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -27,6 +27,7 @@
 
 void JobScheduler::putWorker(TimePoint Now, const WorkerSpec &Spec) {
   m_Workers.put(Spec);
+  giveUpLostTasks(Now);
   advance(Now);
 }
 
@@ -140,7 +141,7 @@
   ActiveTask &Task = Job.m_Tasks.emplace_back();
   Task.m_Ref = Stored.task();
   Task.m_LastNumber = Stored.m_Number - 1;
-  Task.m_LostRuns = Stored.m_LostRuns;
+  Task.m_Losses.m_Losses = Stored.m_LostRuns;
   Task.m_AvoidedWorkers.insert(Stored.m_AvoidedWorkers.begin(),
                                Stored.m_AvoidedWorkers.end());
   Job.m_UnfinishedTasks = 1;
@@ -281,6 +282,7 @@
   checkDeadlines(Now);
   if (releaseWorkersSetAside())
     startWaitingTasks(Now);
+  eraseUnusedIsolations();
 }
 
 JobScheduler::Rank JobScheduler::rank(TimePoint Now, const ActiveJob &Job,
@@ -353,11 +355,11 @@
   };
   Requirements.m_RunsAlone = mustRunAlone(Task);
   if (Requirements.m_RunsAlone) {
-    const Isolation &Isolated = m_Isolations[Job.m_Request.m_Policy.m_Service];
-    if (Isolated.m_Run != 0)
+    if (!mayIsolate(Job.m_Request.m_Policy.m_Service))
       return false;
     if (hasWorkerSetAside(Job, Index))
-      Requirements.m_SetAsideWorker = Isolated.m_Worker;
+      Requirements.m_SetAsideWorker =
+          m_Isolations.at(Job.m_Request.m_Policy.m_Service).m_Worker;
   }
   std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Requirements);
   if (!Choice && !Task.m_AvoidedWorkers.empty()) {
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -102,6 +102,7 @@
   ActiveRun Run = Found->second;
   if (End == RunEnd::Done)
     learnRunTime(Run, Now);
+  learnIsolation(Id, End);
   releaseRun(Id);
   auto Owner = m_Jobs.find(Run.m_Job);
   if (!Run.m_Detached && Owner != m_Jobs.end()) {
@@ -113,10 +114,10 @@
       onTaskDone(Now, Job, Task);
     else if (End == RunEnd::Failed)
       onTaskFailed(Now, Job, Task, Run.m_Worker);
-    else {
-      Task.m_LostRuns += End == RunEnd::Lost;
+    else if (End == RunEnd::Lost)
+      onTaskLost(Now, Job, Task, LostWith);
+    else
       requeue(Now, Job, Task);
-    }
   }
   advance(Now);
 }
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -38,7 +38,7 @@
   double m_WorkerDoubtMs = 1500;
   /// A task is given up, and its job fails, once this many of its runs have
   /// ended with their worker, or with a crash of their worker.
-  LossLimits m_LossLimits{/*m_MaxLosses=*/5, /*m_MaxCrashes=*/2};
+  LossLimits m_LossLimits = TaskLossLimits;
   /// How long a task that has lost two runs waits for evidence that the last
   /// worker has crashed; doubled with each further lost run. Longer than a
   /// crashed worker takes to register again.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -93,8 +93,9 @@
 /// useful; then the rest.
 ///
 /// A task that was lost with a worker may have crashed it. It runs alone on a
-/// worker, one such task of a service at a time. If no worker is idle, the one
-/// with the fewest runs is set aside for it.
+/// worker: one such task of a service at a time, and one more with each that
+/// loses no worker, until one does. If no worker is idle, the one with the
+/// fewest runs is set aside.
 class JobScheduler {
 public:
   explicit JobScheduler(const JobParameters &Parameters);
@@ -166,7 +167,9 @@
     RunId m_Run = 0;
     std::uint32_t m_LastNumber = 0;
     std::uint32_t m_Failures = 0;
-    std::uint32_t m_LostRuns = 0; ///< Runs that ended with their worker.
+    LossCount m_Losses; ///< Runs that ended with their worker.
+    /// Lost workers of a best-effort job that are not known to have crashed.
+    std::vector<WorkerIncarnation> m_LostWith;
     /// Workers on which the task has failed or stalled.
     std::set<std::string> m_AvoidedWorkers;
   };
@@ -209,7 +212,8 @@
 
   /// The tasks of one service that run alone.
   struct Isolation {
-    RunId m_Run = 0;      ///< The active run, or 0.
+    std::set<RunId> m_Runs;
+    std::size_t m_MaxRuns = 1;
     std::string m_Worker; ///< Set aside for a waiting task, or empty.
     std::string m_Job;    ///< Job of that task.
     std::size_t m_Task = 0;
@@ -231,7 +235,7 @@
   void startTasks(TimePoint Now, ActiveJob &Job);
   bool startTask(TimePoint Now, ActiveJob &Job, std::size_t Index);
   static bool mustRunAlone(const ActiveTask &Task) {
-    return Task.m_LostRuns > 0;
+    return Task.m_Losses.m_Losses > 0;
   }
   /// Returns whether a worker is set aside for the task.
   bool hasWorkerSetAside(const ActiveJob &Job, std::size_t Task) const;
@@ -239,7 +243,13 @@
                       TaskRequirements Requirements);
   void beginIsolatedRun(const ActiveJob &Job, std::size_t Task,
                         WorkerRecord &Worker);
+  /// Returns whether one more task of the service may run alone.
+  bool mayIsolate(const std::string &Service) const;
+  Isolation *findIsolation(RunId Id);
+  /// Adapts the number of tasks that may run alone to the end of one of them.
+  void learnIsolation(RunId Id, RunEnd End);
   void endIsolatedRun(RunId Id);
+  void eraseUnusedIsolations();
   /// Releases workers whose task no longer waits or that can no longer serve
   /// it. Returns whether there were any.
   bool releaseWorkersSetAside();
@@ -273,6 +283,12 @@
   void onTaskDone(TimePoint Now, ActiveJob &Job, ActiveTask &Task);
   void onTaskFailed(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
                     const std::string &Worker);
+  void onTaskLost(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
+                  const WorkerIncarnation &With);
+  /// Returns whether the task has lost too many workers to be started again.
+  bool mustGiveUp(ActiveTask &Task) const;
+  /// Fails best-effort jobs with a waiting task that must be given up.
+  void giveUpLostTasks(TimePoint Now);
   void learnRunTime(const ActiveRun &Run, TimePoint Now);
 
   JobParameters m_Parameters;
