Tests: Reproduce a task that crashes each worker that starts it

Callers saw one task of a stored job crash worker after worker and its job never end. The stand-in of an executor now crashes when a task that its spec names is started: its connections break, and it comes back later as a new incarnation, under its id or another one, without runs, tokens or sequence numbers. Its capacity can change while it runs, it need not guard it, and it counts the starts that exceed what it has stated.

--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -20,7 +20,8 @@
 FakeExecutor::FakeExecutor(EventLoop &Loop, std::string Id)
     : m_Loop(Loop), m_Id(std::move(Id)),
       m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }),
-      m_IncarnationStart(EventLoop::now()) {}
+      m_IncarnationStart(EventLoop::now()),
+      m_Capacities({{m_IncarnationStart, CpuMillis}}) {}
 
 std::string FakeExecutor::registration(const std::string &Service,
                                        const std::string &Zone,
@@ -33,9 +34,11 @@
       {"slots", 8},
       {"state", State},
       {"cold_remaining_ms", 0},
-      {"capacity", {{"cpu", CpuMillis}, {"mem_mb", 32768}, {"gpu", 0}}},
+      {"capacity",
+       {{"cpu", m_Capacities.back().second}, {"mem_mb", 32768}, {"gpu", 0}}},
       {"labels", {"a", "r1-3"}},
-      {"sequence", 4}};
+      {"sequence", 4},
+      {"born", m_Incarnation}};
   return Entry.dump();
 }
 
@@ -58,6 +61,20 @@
   return Total;
 }
 
+std::int64_t FakeExecutor::noticedCpuMillis() const {
+  TimePoint NoticedSince = EventLoop::now() - CapacityNoticeTime;
+  std::int64_t Highest = 0;
+  for (std::size_t I = 0; I < m_Capacities.size(); ++I)
+    if (I + 1 == m_Capacities.size() ||
+        m_Capacities[I + 1].first > NoticedSince)
+      Highest = std::max(Highest, m_Capacities[I].second);
+  return Highest;
+}
+
+void FakeExecutor::setCpuMillis(std::int64_t Value) {
+  m_Capacities.emplace_back(EventLoop::now(), Value);
+}
+
 void FakeExecutor::resume() {
   m_Behaviour.m_Hangs = false;
   for (auto &[Task, Item] : m_Running) {
@@ -85,10 +102,28 @@
   m_LeaseUntilMs = 0;
   m_LastSequence = 0;
   m_Token = 0;
+  m_CrashTimer.reset();
   m_IncarnationStart = Now;
   ++m_Incarnation;
 }
 
+void FakeExecutor::crashAndRestart() {
+  crash();
+  for (const auto &[Exchange, Timer] : std::exchange(m_Renewals, {}))
+    m_Unanswered.push_back(Exchange);
+  m_IsAway = true;
+  if (m_AwayHandler)
+    m_AwayHandler(true);
+  m_RestartTimer = m_Loop.once(m_Behaviour.m_RestartTime, [this] {
+    m_IsAway = false;
+    m_IncarnationStart = EventLoop::now();
+    if (m_Behaviour.m_RestartsUnderNewId)
+      m_Id += "'";
+    if (m_AwayHandler)
+      m_AwayHandler(false);
+  });
+}
+
 void FakeExecutor::respondConflict(const HttpExchange &Exchange,
                                    const std::string &Reason) const {
   Exchange.respond(
@@ -96,7 +131,7 @@
 }
 
 void FakeExecutor::onCall(const HttpExchange &Exchange) {
-  if (m_Behaviour.m_IsUnresponsive) {
+  if (m_Behaviour.m_IsUnresponsive || m_IsAway) {
     m_Unanswered.push_back(Exchange);
     return;
   }
@@ -175,10 +210,13 @@
   auto Spec = nlohmann::json::parse(Body.value("spec", ""), nullptr, false);
   bool HasSpec = Spec.is_object();
   std::int64_t Cpu = HasSpec ? Spec.value("cpu", std::int64_t{0}) : 0;
-  if (cpuMillisInUse() + Cpu > CpuMillis) {
+  bool Fits = cpuMillisInUse() + Cpu <= m_Capacities.back().second;
+  if (!Fits && m_Behaviour.m_GuardsCapacity) {
     respondConflict(Exchange, "room");
     return;
   }
+  if (cpuMillisInUse() + Cpu > noticedCpuMillis())
+    ++m_StartsOverCapacity;
   auto RunTime = static_cast<double>(m_Behaviour.m_RunTime.count());
   Running &Added = m_Running[Task];
   Added.m_Run = Run;
@@ -190,6 +228,10 @@
   m_Journal.push_back({Task, Run, "start", EventLoop::now()});
   if (!m_Behaviour.m_Hangs)
     scheduleEnd(Task, Added);
+  std::string CrashingTask = HasSpec ? Spec.value("crash", "") : "";
+  if (!CrashingTask.empty() && Task.ends_with(".0." + CrashingTask))
+    m_CrashTimer =
+        m_Loop.once(m_Behaviour.m_CrashDelay, [this] { crashAndRestart(); });
   extendLease(Body);
   Exchange.respond(jsonResponse(200, {{"clock_ms", clockMs()}}));
 }
@@ -200,8 +242,13 @@
   auto Run = Body["run"].get<std::uint32_t>();
   m_HighestRun[Task] = std::max(m_HighestRun[Task], Run);
   auto Found = m_Running.find(Task);
-  if (Found != m_Running.end() && Found->second.m_Run <= Run)
-    end(Task, "stopped");
+  if (Found != m_Running.end() && Found->second.m_Run <= Run) {
+    if (m_Behaviour.m_StopTime.count() == 0)
+      end(Task, "stopped");
+    else
+      Found->second.m_Timer = m_Loop.once(
+          m_Behaviour.m_StopTime, [this, Task] { end(Task, "stopped"); });
+  }
   Exchange.respond(jsonResponse(200, {{"clock_ms", clockMs()}}));
 }
 
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,8 +16,9 @@
 /// Stands in for one executor: runs tasks under a lease and a fencing token,
 /// and keeps a journal of every start, end and acknowledged end.
 ///
-/// A spec that is a JSON object may set how long its tasks run (`ms`) and how
-/// many thousandths of a core they need (`cpu`).
+/// A spec that is a JSON object may set how long its tasks run (`ms`), how many
+/// thousandths of a core they need (`cpu`), and the name of a task, as
+/// STEP.INDEX, that crashes the executor each time it is started (`crash`).
 class FakeExecutor {
 public:
   struct Behaviour {
@@ -30,6 +32,14 @@
     double m_RunTimeFactor = 1;    ///< Factor on the run time.
     double m_ClockRate = 1;        ///< Speed of its clock; real time is 1.
     bool m_IsUnresponsive = false; ///< Requests are not answered.
+    /// Start orders that exceed the capacity are refused; otherwise they are
+    /// carried out.
+    bool m_GuardsCapacity = true;
+    EventLoop::Duration m_StopTime{0}; ///< Time until a stopped run ends.
+    /// Time between a start that crashes the executor and the crash.
+    EventLoop::Duration m_CrashDelay{10};
+    EventLoop::Duration m_RestartTime{1200}; ///< Time away after such a crash.
+    bool m_RestartsUnderNewId = false;
   };
 
   /// A journal entry.
@@ -61,8 +71,18 @@
     m_PublicAddress = NewAddress.str();
   }
 
+  /// Called when the executor crashes (true) and when it is back (false).
+  void setAwayHandler(std::function<void(bool IsAway)> Handler) {
+    m_AwayHandler = std::move(Handler);
+  }
+
+  /// Changes the capacity that registrations state from now on.
+  void setCpuMillis(std::int64_t Value);
+
   /// Ends all runs and loses all state, like a restart as a new incarnation.
   void crash();
+  /// Crashes and answers nothing for m_RestartTime.
+  void crashAndRestart();
 
   /// Clears m_Hangs, and lets the hanging runs begin their run time now.
   void resume();
@@ -74,7 +94,12 @@
   std::size_t unacknowledgedEnds() const { return m_Ended.size(); }
   /// Returns the peak CPU use, in thousandths of a core.
   std::int64_t peakCpuMillis() const { return m_PeakCpuMillis; }
+  /// Returns the number of starts that brought the CPU use above each capacity
+  /// stated within CapacityNoticeTime before.
+  std::size_t startsOverCapacity() const { return m_StartsOverCapacity; }
   static constexpr std::int64_t CpuMillis = 16000;
+  /// Time within which a change of the capacity need not be known to owners.
+  static constexpr EventLoop::Duration CapacityNoticeTime{4000};
 
 private:
   struct Running {
@@ -102,6 +127,8 @@
   nlohmann::json encodeLists() const;
   std::int64_t clockMs() const;
   std::int64_t cpuMillisInUse() const;
+  /// Returns the highest capacity stated within CapacityNoticeTime.
+  std::int64_t noticedCpuMillis() const;
   void respondConflict(const HttpExchange &Exchange,
                        const std::string &Reason) const;
 
@@ -112,7 +139,14 @@
   std::string m_PublicAddress;
   TimePoint m_IncarnationStart;
   std::int64_t m_Incarnation = 1000; ///< Increases with each crash.
+  std::function<void(bool)> m_AwayHandler;
+  bool m_IsAway = false;
+  EventLoop::Timer m_CrashTimer;
+  EventLoop::Timer m_RestartTimer;
+  /// Capacities stated since the start of the incarnation, and since when.
+  std::vector<std::pair<TimePoint, std::int64_t>> m_Capacities;
   std::int64_t m_PeakCpuMillis = 0;
+  std::size_t m_StartsOverCapacity = 0;
   std::uint64_t m_Token = 0;
   std::map<std::string, Running> m_Running;
   std::map<std::string, std::uint32_t>
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -31,8 +31,8 @@
     throw std::runtime_error(Error);
 }
 
-nlohmann::json jobBody(int Tasks) {
-  return {{"spec", "text"},
+nlohmann::json jobBody(int Tasks, const std::string &Spec = "text") {
+  return {{"spec", Spec},
           {"steps",
            {{{"count", Tasks},
              {"cpu", 6000},
@@ -71,10 +71,38 @@
     m_ExecutorProxies.back()->setTarget(*parseAddress(Added.address()));
     Added.setPublicAddress(m_ExecutorProxies.back()->address());
   }
+  Added.setAwayHandler(
+      [this, Index = m_Executors.size() - 1, Zone](bool IsAway) {
+        onExecutorAway(Index, IsAway, Zone);
+      });
   registerExecutor(Added, "ready", Zone);
+  m_RegisteredIds.push_back(Id);
   return Added;
 }
 
+void PlatformCluster::onExecutorAway(std::size_t Index, bool IsAway,
+                                     const std::string &Zone) {
+  if (m_Options.m_UsesProxies) {
+    FaultyProxy::Faults Faults;
+    Faults.m_Refuse = IsAway;
+    executorProxy(Index).set(Faults);
+    executorProxy(Index).resetConnections();
+  }
+  if (IsAway)
+    return;
+  const FakeExecutor &Executor = *m_Executors[Index];
+  if (Executor.id() != m_RegisteredIds[Index])
+    m_Store.put("keyed.servers", m_RegisteredIds[Index], std::nullopt);
+  m_RegisteredIds[Index] = Executor.id();
+  registerExecutor(Executor, "ready", Zone);
+}
+
+void PlatformCluster::resizeExecutor(std::size_t Index,
+                                     std::int64_t CpuMillis) {
+  m_Executors[Index]->setCpuMillis(CpuMillis);
+  registerExecutor(*m_Executors[Index]);
+}
+
 void PlatformCluster::registerExecutor(const FakeExecutor &Executor,
                                        const std::string &State,
                                        const std::string &Zone) {
@@ -249,8 +277,8 @@
 
 std::shared_ptr<PlatformCluster::Reply>
 PlatformCluster::submitStored(std::size_t Node, const std::string &Id,
-                              int Tasks) {
-  return call(Node, "POST", Prefix + Id, jobBody(Tasks).dump());
+                              int Tasks, const std::string &Spec) {
+  return call(Node, "POST", Prefix + Id, jobBody(Tasks, Spec).dump());
 }
 
 std::string PlatformCluster::state(std::size_t Node, const std::string &Id) {
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -90,6 +90,8 @@
   void registerExecutor(const FakeExecutor &Executor,
                         const std::string &State = "ready",
                         const std::string &Zone = "a");
+  /// Changes the capacity of an executor and its registration.
+  void resizeExecutor(std::size_t Index, std::int64_t CpuMillis);
 
   /// Runs the event loop until the condition holds. Returns false if it does
   /// not within 20 s.
@@ -115,7 +117,8 @@
                                 int Tasks, int DeadlineMs = 5000);
   /// Submits a job that must be stored.
   std::shared_ptr<Reply> submitStored(std::size_t Node, const std::string &Id,
-                                      int Tasks);
+                                      int Tasks,
+                                      const std::string &Spec = "text");
   /// Queries a node for the state of a stored job; empty unless it answers 200.
   std::string state(std::size_t Node, const std::string &Id);
   /// Queries the readiness address of a node.
@@ -149,6 +152,9 @@
   /// Returns a free address that is not assigned to another node of the
   /// cluster.
   Address freeAddress();
+  /// Breaks the connections of an executor that has crashed, and registers one
+  /// that is back.
+  void onExecutorAway(std::size_t Index, bool IsAway, const std::string &Zone);
   /// Writes the settings file of a node and returns its path.
   std::string writeSettings(const NodeProcess &Node) const;
   void start(NodeProcess &Node);
@@ -159,6 +165,7 @@
   LoopHttpClient m_Client;
   std::vector<std::unique_ptr<FakeExecutor>> m_Executors;
   std::vector<std::unique_ptr<FaultyProxy>> m_ExecutorProxies;
+  std::vector<std::string> m_RegisteredIds; ///< By executor.
   std::vector<NodeProcess> m_Nodes;
   std::set<std::uint16_t> m_Ports; ///< Assigned to nodes.
   std::string m_Folder;            ///< Holds the nodes' settings.
