Jobs, Node: Let a lost order or report not hide a stored task for good

Callers would see a stored job that stays in the state "running" although nothing of it runs.

An order to an owner, and the report of a run that did not count (over, not run, in doubt), are sent once. If one was lost without the keeper noticing that the link broke, the ledger took the task for running until the next takeover: a keeper asked for runs only when it opened the partition or saw the link again, and did not compare the answer with the runs that it expected. PeerLinks takes a second connection to a peer within the first second of a link for one opened at the same time and reports no loss then, although the peer may have lost the first one.

A keeper now asks the owner again once a run is unreported for 3 s, at most once a second for each partition and owner with such runs. Owners send the ends that are not stored first, then the list, under the number of the query. A run that was ordered before the query and is neither listed nor reported as ended gets the doubt period of a lost owner before its task is offered again, so it is not started beside a run that may be alive. An owner of an earlier version repeats no number; nothing changes with it.

Before, of the new tests ARunWhoseEndIsNotReported/IsAskedForAtItsOwner failed (no query within 10 s) and /IsStartedAgainIfItsOwnerDoesNotListIt failed (one start). PlatformTest passes.

--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -43,12 +43,13 @@
   return Result;
 }
 
-void JobLedger::taskStarted(TimePoint, const std::string &Owner) {
+void JobLedger::taskStarted(TimePoint Now, const std::string &Owner) {
   auto [Priority, Order, Id, TaskIndex] = *m_Ready.begin();
   LedgerJob &Job = *m_Jobs.at(Id);
   LedgerTask &Task = Job.m_Tasks[TaskIndex];
   Task.m_Number = nextNumber(Job, Task);
   ++Task.m_Runs;
+  Task.m_ReportedAt = Now;
   Task.m_Owner = Owner;
   Job.m_HasStarted = true;
   setState(Job, TaskIndex, TaskState::Running);
@@ -189,7 +190,7 @@
   setState(Job, TaskIndex, TaskState::Paused, addMs(Now, BackoffMs));
 }
 
-void JobLedger::runReported(TimePoint, const std::string &Owner,
+void JobLedger::runReported(TimePoint Now, const std::string &Owner,
                             const TaskRef &Ref, std::uint32_t Number) {
   LedgerJob *Job = find(Ref.m_Job);
   auto TaskIndex = Job ? taskIndexOf(*Job, Ref) : std::nullopt;
@@ -201,27 +202,47 @@
     return;
   }
   auto &Task = Job->m_Tasks[*TaskIndex];
-  if (Task.m_State == TaskState::Running && Task.m_Number == Number)
+  if (Task.m_State == TaskState::Running && Task.m_Number == Number) {
+    if (Task.m_Owner == Owner)
+      Task.m_ReportedAt = Now;
     return;
+  }
   if (Task.m_State != TaskState::InDoubt || Task.m_Number > Number) {
     Refuse();
     return;
   }
   Task.m_Owner = Owner;
   Task.m_Number = Number;
+  Task.m_ReportedAt = Now;
   Job->m_HasStarted = true;
   setState(*Job, *TaskIndex, TaskState::Running);
 }
 
-void JobLedger::ownerLost(TimePoint Now, const std::string &Owner) {
+std::set<std::string> JobLedger::ownersToQuery(TimePoint Now) const {
+  TimePoint Before = addMs(Now, -m_Parameters.m_UnreportedRunMs);
+  std::set<std::string> Owners;
+  for (const auto &[Id, Job] : m_Jobs)
+    for (const LedgerTask &Task : Job->m_Tasks)
+      if (Task.m_State == TaskState::Running && Task.m_ReportedAt <= Before)
+        Owners.insert(Task.m_Owner);
+  return Owners;
+}
+
+void JobLedger::runsReported(TimePoint Now, TimePoint QueriedAt,
+                             const std::string &Owner) {
   TimePoint Until = addMs(Now, m_Parameters.m_OwnerDoubtMs);
   for (auto &[Id, Job] : m_Jobs)
     for (std::uint32_t TaskIndex = 0; TaskIndex < Job->m_Tasks.size();
          ++TaskIndex) {
       const LedgerTask &Task = Job->m_Tasks[TaskIndex];
-      if (Task.m_State == TaskState::Running && Task.m_Owner == Owner)
+      if (Task.m_State == TaskState::Running && Task.m_Owner == Owner &&
+          Task.m_ReportedAt < QueriedAt)
         setState(*Job, TaskIndex, TaskState::InDoubt, Until);
     }
 }
 
+void JobLedger::ownerLost(TimePoint Now, const std::string &Owner) {
+  runsReported(Now, TimePoint::max(), Owner);
+}
+
 } // namespace auburnhub
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -40,6 +40,7 @@
   m_JobsAreStored = true;
   LedgerRuns Answer;
   Answer.m_Claim = Msg.m_Claim;
+  Answer.m_Query = Msg.m_Query;
   std::vector<StoredTaskReport> Ends;
   for (const auto &[Key, OwnedRun] : m_Runs) {
     if (OwnedRun.m_PartitionId != Msg.m_Claim.m_PartitionId)
@@ -49,9 +50,10 @@
     else
       Answer.m_Runs.push_back({Key.first, Key.second});
   }
-  m_Effects.m_Send(Keeper, Answer);
+  // The keeper takes a run for lost that it expects and that is not listed.
   for (const StoredTaskReport &End : Ends)
     m_Effects.m_Send(Keeper, End);
+  m_Effects.m_Send(Keeper, Answer);
 }
 
 void StoredRuns::refuse(const std::string &Keeper, const RunStoredTask &Msg,
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -348,3 +348,67 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ARunThatItsOwnerHasNotReported, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(IsQueriedOnlyAfterATime) {
+  submit(job("a", 1));
+  store();
+  auto Task = start();
+  BOOST_TEST(m_Ledger->ownersToQuery(m_Now).empty());
+  advanceTime(JobLedgerParameters().m_UnreportedRunMs);
+  BOOST_TEST(m_Ledger->ownersToQuery(m_Now) == std::set<std::string>{"owner"},
+             boost::test_tools::per_element());
+  m_Ledger->runReported(m_Now, "owner", Task->task(), Task->m_Number);
+  BOOST_TEST(m_Ledger->ownersToQuery(m_Now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStartedAgainIfItsOwnerListsIt) {
+  submit(job("a", 1));
+  store();
+  auto Task = start();
+  advanceTime(5000);
+  TimePoint QueriedAt = m_Now;
+  advanceTime(10);
+  m_Ledger->runReported(m_Now, "owner", Task->task(), Task->m_Number);
+  m_Ledger->runsReported(m_Now, QueriedAt, "owner");
+  advanceTime(20000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStartedAgainIfItWasOrderedAfterTheQuery) {
+  submit(job("a", 1));
+  store();
+  TimePoint QueriedAt = m_Now;
+  advanceTime(10);
+  start();
+  m_Ledger->runsReported(m_Now, QueriedAt, "owner");
+  advanceTime(20000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStartedAgainBecauseOfTheListOfAnotherOwner) {
+  submit(job("a", 1));
+  store();
+  start();
+  advanceTime(5000);
+  m_Ledger->runsReported(m_Now, m_Now, "other");
+  advanceTime(20000);
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsStartedAgainAfterADoubtPeriodIfItIsNotListed) {
+  submit(job("a", 1));
+  store();
+  auto First = start();
+  advanceTime(5000);
+  m_Ledger->runsReported(m_Now, m_Now, "owner");
+  advanceTime(JobLedgerParameters().m_OwnerDoubtMs - 1);
+  BOOST_TEST(!start().has_value());
+  advanceTime(1);
+  auto Second = start();
+  BOOST_REQUIRE(Second.has_value());
+  BOOST_TEST(Second->m_Number > First->m_Number);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -63,12 +63,26 @@
     Call(Status);
   }
 
+  /// Runs the partition, at most for 10 s, until the condition holds.
+  bool advanceUntil(const std::function<bool()> &Condition) {
+    TimePoint Begin = EventLoop::now();
+    while (!Condition()) {
+      if (millisecondsBetween(Begin, EventLoop::now()) > 10000)
+        return false;
+      m_Loop.io().restart();
+      m_Loop.io().run_one_for(std::chrono::milliseconds(5));
+      m_Partition.advance();
+    }
+    return true;
+  }
+
   EventLoop m_Loop;
   ScriptedLog m_Log;
   OwnerTable m_Owners{"a"};
   std::optional<LedgerCallOutcome> m_Outcome;
   bool m_MayStart = true;
   int m_StartedRuns = 0;
+  std::vector<LedgerOpened> m_Questions; ///< Sent to single owners.
   StateChart m_Chart = *StateChart::load(
       AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts/ledger-partition.yaml",
       LedgerPartition<ScriptedLog>::vocabulary());
@@ -83,6 +97,8 @@
          if (const auto *Answer = std::get_if<LedgerCallAnswer>(&Msg))
            m_Outcome = Answer->m_Outcome;
          m_StartedRuns += std::holds_alternative<RunStoredTask>(Msg) ? 1 : 0;
+         if (const auto *Question = std::get_if<LedgerOpened>(&Msg))
+           m_Questions.push_back(*Question);
        },
        [](const StoredJobMessage &) {}, [] {}, [this] { return m_MayStart; }}};
 };
@@ -123,3 +139,21 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ARunWhoseEndIsNotReported, PartitionFixture)
+
+BOOST_AUTO_TEST_CASE(IsAskedForAtItsOwner) {
+  answer(absl::OkStatus());
+  BOOST_TEST(advanceUntil([this] { return !m_Questions.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(IsStartedAgainIfItsOwnerDoesNotListIt) {
+  answer(absl::OkStatus());
+  BOOST_TEST(advanceUntil([this] {
+    for (const LedgerOpened &Question : std::exchange(m_Questions, {}))
+      m_Partition.onRuns("owner", {Question.m_Claim, {}, Question.m_Query});
+    return m_StartedRuns == 2;
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -35,6 +35,9 @@
   double m_TakeoverDoubtMs = 4000;
   double m_OwnerDoubtMs = 3200;
   double m_WorkerDoubtMs = 1500;
+  /// Time after which an owner is asked for a run that it has not reported:
+  /// several times the run time of a usual task.
+  double m_UnreportedRunMs = 3000;
   /// Maximum number of jobs in the ledger; bounds memory.
   std::size_t m_MaxJobs = 20000;
   /// Maximum records and bytes of one append, well below what the log accepts
@@ -153,6 +156,13 @@
   /// the run is, or may be, the current run of its task.
   void runReported(TimePoint Now, const std::string &Owner, const TaskRef &Ref,
                    std::uint32_t Number);
+  /// Returns the owners with runs that they have not reported for
+  /// m_UnreportedRunMs.
+  std::set<std::string> ownersToQuery(TimePoint Now) const;
+  /// An owner has reported all its runs that were ordered before QueriedAt.
+  /// Others are presumed alive for m_OwnerDoubtMs.
+  void runsReported(TimePoint Now, TimePoint QueriedAt,
+                    const std::string &Owner);
   /// This owner is unreachable; its runs are presumed alive for m_OwnerDoubtMs.
   void ownerLost(TimePoint Now, const std::string &Owner);
 
@@ -177,10 +187,11 @@
   };
   struct LedgerTask {
     TaskState m_State = TaskState::Blocked;
-    TimePoint m_Until;            ///< End of the state Paused or InDoubt.
-    std::string m_Owner;          ///< Owner of its last run.
-    std::uint32_t m_Number = 0;   ///< Number of its last run.
-    std::uint32_t m_Runs = 0;     ///< Runs started in this epoch.
+    TimePoint m_Until;          ///< End of the state Paused or InDoubt.
+    std::string m_Owner;        ///< Owner of its last run.
+    std::uint32_t m_Number = 0; ///< Number of its last run.
+    TimePoint m_ReportedAt;     ///< When its run was ordered or last reported.
+    std::uint32_t m_Runs = 0;   ///< Runs started in this epoch.
     std::uint32_t m_Refusals = 0; ///< Refusals since its last run.
     std::vector<std::string> m_AvoidedWorkers;
   };
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -38,6 +38,8 @@
   /// Maximum age of the count of jobs that have not started: a quarter of the
   /// age that callers are promised.
   double m_PendingMaxAgeMs = 500;
+  /// Interval between two queries to owners for runs that are not reported.
+  double m_QueryIntervalMs = 1000;
   JobLedgerParameters m_Ledger;
 };
 
@@ -122,6 +124,9 @@
   bool isAppendDue(TimePoint Now);
   void assignTasks(TimePoint Now);
   void countPending(TimePoint Now);
+  /// Asks owners for runs whose end they have not reported: the order or the
+  /// report may be lost.
+  void queryRuns(TimePoint Now);
   void applyEffects();
   void apply(const LedgerCallAnswered &Effect);
   void apply(const LedgerStopRun &Effect);
@@ -148,6 +153,8 @@
   std::map<std::string, std::uint64_t> m_Pending;
   TimePoint m_PendingCountedAt;
   std::string m_LastReadKey;
+  TimePoint m_QueriedAt;
+  std::uint64_t m_LastQuery = 0; ///< Sent at m_QueriedAt.
   std::uint64_t m_LastCall = 0;
   std::map<std::uint64_t, Caller> m_Callers;
   std::multimap<std::string, HeldQuery> m_HeldQueries; ///< By job.
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -348,6 +348,8 @@
     return;
   for (const StoredRun &Run : Msg.m_Runs)
     m_Ledger.runReported(EventLoop::now(), From, Run.m_Task, Run.m_Number);
+  if (Msg.m_Query != 0 && Msg.m_Query == m_LastQuery)
+    m_Ledger.runsReported(EventLoop::now(), m_QueriedAt, From);
   if (!Msg.m_Runs.empty())
     m_Log.info("stored_runs_found", {{"part", m_Claim.m_PartitionId},
                                      {"owner", From},
@@ -387,6 +389,19 @@
   m_Pending = m_Ledger.pending();
 }
 
+template <JobLog Log> void LedgerPartition<Log>::queryRuns(TimePoint Now) {
+  if (millisecondsBetween(m_QueriedAt, Now) < m_Settings.m_QueryIntervalMs)
+    return;
+  m_QueriedAt = Now;
+  ++m_LastQuery;
+  for (const std::string &Owner : m_Ledger.ownersToQuery(Now)) {
+    m_Log.info("stored_runs_queried", {{"part", m_Claim.m_PartitionId},
+                                       {"owner", Owner},
+                                       {"epoch", m_Claim.m_Epoch}});
+    m_Effects.m_Send(Owner, LedgerOpened{m_Claim, m_LastQuery});
+  }
+}
+
 template <JobLog Log> void LedgerPartition<Log>::advance() {
   if (!isServing())
     return;
@@ -395,6 +410,7 @@
   applyEffects();
   answerDueQueries(Now);
   countPending(Now);
+  queryRuns(Now);
   if (m_Effects.m_MayStart())
     assignTasks(Now);
   append();
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -232,11 +232,16 @@
 
 /// From keeper to all nodes: this node is now the keeper of the partition.
 /// Nodes that run tasks of the partition reply with LedgerRuns and ignore
-/// orders with a lower epoch from then on.
+/// orders with a lower epoch from then on. Also sent to one owner to ask for
+/// its runs again.
 struct LedgerOpened {
   static constexpr std::string_view TypeName = "ledger_opened";
   LedgerClaim m_Claim;
-  template <typename Visitor> void fields(Visitor &V) { V("claim", m_Claim); }
+  std::uint64_t m_Query = 0; ///< Repeated in the reply.
+  template <typename Visitor> void fields(Visitor &V) {
+    V("claim", m_Claim);
+    V("query", m_Query);
+  }
 };
 
 /// From keeper to owner: run this task once. The owner replies with
@@ -310,9 +315,11 @@
   static constexpr std::string_view TypeName = "ledger_runs";
   LedgerClaim m_Claim;
   std::vector<StoredRun> m_Runs;
+  std::uint64_t m_Query = 0; ///< From LedgerOpened.
   template <typename Visitor> void fields(Visitor &V) {
     V("claim", m_Claim);
     V("runs", m_Runs);
+    V("query", m_Query);
   }
 };
 
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -39,8 +39,8 @@
         m_Effects(std::move(Effects)) {}
 
   // From keepers.
-  /// A keeper has opened a partition: reports the partition's runs and the ends
-  /// that are not stored yet.
+  /// A keeper has opened a partition or asks for its runs: reports the ends
+  /// that are not stored yet, then the runs.
   void opened(const std::string &Keeper, const LedgerOpened &Msg);
   /// Starts a run; an order that is received again is ignored. Refused if the
   /// keeper has been superseded.
