Tests: Cover a worker whose capacity shrinks and grows under its runs

A worker's capacity may change while it runs tasks. The tests hold the scheduler to the rule that no start exceeds it: runs that are being stopped, whose order is not answered, or that belong to an earlier incarnation under the same id still count; a task that fits nowhere is refused with a time to retry, and runs once the capacity has grown again.

--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -242,6 +242,95 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheCapacityOfAWorkerShrinks)
+
+BOOST_AUTO_TEST_CASE(StartsNothingUntilTheRemainingRunsLeaveRoom) {
+  addWorker("w");
+  submit(job("a", 2));
+  addWorker("w", 8000);
+  submit(job("b", 1, 2000));
+  BOOST_TEST(m_Starts.size() == 2U);
+  end(m_Starts[0].m_Run, RunEnd::Done);
+  BOOST_REQUIRE(m_Starts.size() == 3U);
+  BOOST_TEST(m_Starts[2].m_Task.m_Job == "b");
+  submit(job("c", 1, 1000));
+  BOOST_TEST(m_Starts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(StartsAgainOnceItGrows) {
+  addWorker("w");
+  submit(job("a", 2));
+  addWorker("w", 4000);
+  submit(job("b", 1, 4000));
+  BOOST_TEST(m_Starts.size() == 2U);
+  addWorker("w");
+  BOOST_TEST(m_Starts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(CountsRunsThatAreBeingStopped) {
+  addWorker("w");
+  submit(job("a", 2));
+  accept(m_Starts[0].m_Run);
+  accept(m_Starts[1].m_Run);
+  addWorker("w", 12000);
+  m_Scheduler.cancel(m_Now, "a");
+  collect();
+  BOOST_TEST(m_Stops.size() == 2U);
+  submit(job("b", 2));
+  BOOST_TEST(m_Starts.size() == 2U);
+  end(m_Starts[0].m_Run, RunEnd::Stopped);
+  BOOST_TEST(m_Starts.size() == 3U);
+  end(m_Starts[1].m_Run, RunEnd::Stopped);
+  BOOST_TEST(m_Starts.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(CountsRunsWhoseOrderIsNotAnswered) {
+  addWorker("w");
+  submit(job("a", 2));
+  addWorker("w", 12000);
+  submit(job("b", 1));
+  BOOST_TEST(m_Starts.size() == 2U);
+  refuse(m_Starts[0].m_Run, RefusalReason::NumberUsed);
+  BOOST_TEST(m_Starts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(CountsRunsOverARestartUnderItsId) {
+  addWorker("w");
+  submit(job("a", 2));
+  m_Scheduler.setReachable(m_Now, "w", false);
+  WorkerSpec Reborn;
+  Reborn.m_Id = "w";
+  Reborn.m_Service = "order-desk";
+  Reborn.m_Capacity = {12000, 65536, 0};
+  m_Scheduler.putWorker(m_Now, Reborn);
+  m_Scheduler.setReachable(m_Now, "w", true);
+  JobRequest Other = job("b", 1);
+  Other.m_Policy.m_Service = "order-desk";
+  Other.m_Policy.m_TargetLatencyMs = 10000;
+  submit(Other);
+  BOOST_TEST(m_Starts.size() == 2U);
+  end(m_Starts[0].m_Run, RunEnd::Lapsed);
+  BOOST_REQUIRE(m_Starts.size() == 3U);
+  BOOST_TEST(m_Starts[2].m_Task.m_Job == "b");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesATaskThatFitsNowhereOnlyUntilItGrows) {
+  addWorker("w");
+  addWorker("w", 4000);
+  submit(job("a", 1));
+  BOOST_TEST(isFinished("a", JobOutcome::NotRun));
+  BOOST_TEST(m_FinishedJobs["a"].front().m_RetryAfterMs > 0);
+  submitStored(0);
+  BOOST_REQUIRE(m_EndedStoredTasks.size() == 1U);
+  BOOST_TEST((m_EndedStoredTasks.front().m_EndKind == StoredRunEnd::NotRun));
+  addWorker("w");
+  submit(job("b", 1));
+  submitStored(0, 2);
+  BOOST_TEST(m_Starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(LearnsWhichWorkersAreFast) {
   addWorker("slow");
   for (int I = 0; I < 12; ++I) {
