Jobs: Let stored tasks that run alone wait at their owner

A stored task that waited to run alone was returned to its ledger after 200 ms, as if capacity were missing, offered again, and returned again with a growing backoff.

Such a task now waits for up to 5 s at its owner, in the order of the scheduler. It is not reported as waiting meanwhile, because it does not take part in the competition for the capacity that is left; owners with such tasks would otherwise get no ordinary ones.

AndIsNotSoonReturnedWhileAnotherOneDoes failed before: the second task was returned within a second.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -137,11 +137,14 @@
   // The age of the job affects its rank but not how long the task may wait
   // here.
   Job.m_Submitted = addMs(Now, -Stored.m_AgeMs);
-  Job.m_WaitUntil = addMs(Now, m_Parameters.m_StoredWaitMs);
+  Job.m_WaitUntil =
+      addMs(Now, Stored.m_LostRuns > 0 ? m_Parameters.m_IsolatedWaitMs
+                                       : m_Parameters.m_StoredWaitMs);
   ActiveTask &Task = Job.m_Tasks.emplace_back();
   Task.m_Ref = Stored.task();
   Task.m_LastNumber = Stored.m_Number - 1;
   Task.m_Losses.m_Losses = Stored.m_LostRuns;
+  Job.m_HasLostTasks = Stored.m_LostRuns > 0;
   Task.m_AvoidedWorkers.insert(Stored.m_AvoidedWorkers.begin(),
                                Stored.m_AvoidedWorkers.end());
   Job.m_UnfinishedTasks = 1;
@@ -428,7 +431,9 @@
     if (!Job->m_FirstStart)
       Consider(Job->m_WaitUntil);
   }
-  if (waitingTasks() > 0)
+  if (std::any_of(m_Jobs.begin(), m_Jobs.end(), [](const auto &Entry) {
+        return Entry.second->m_Waiting > 0;
+      }))
     for (const auto &[Id, Worker] : m_Workers.all()) {
       Consider(Worker.m_EjectedUntil);
       Consider(Worker.m_PausedUntil);
@@ -446,8 +451,16 @@
 
 std::size_t JobScheduler::waitingTasks() const {
   std::size_t Total = 0;
-  for (const auto &[Id, Job] : m_Jobs)
+  for (const auto &[Id, Job] : m_Jobs) {
     Total += Job->m_Waiting;
+    if (!Job->m_HasLostTasks)
+      continue;
+    auto IsForIdleWorker = [](const ActiveTask &Task) {
+      return Task.m_State == TaskState::Waiting && mustRunAlone(Task);
+    };
+    Total -= static_cast<std::size_t>(std::count_if(
+        Job->m_Tasks.begin(), Job->m_Tasks.end(), IsForIdleWorker));
+  }
   return Total;
 }
 
--- a/Source/Jobs/JobSchedulerIsolation.cpp
+++ b/Source/Jobs/JobSchedulerIsolation.cpp
@@ -129,6 +129,7 @@
 
 void JobScheduler::onTaskLost(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
                               const WorkerIncarnation &With) {
+  Job.m_HasLostTasks = true;
   ++Task.m_Losses.m_Losses;
   Task.m_LostWith.push_back(With);
   if (mustGiveUp(Task))
--- a/Tests/Jobs/LostTaskTest.cpp
+++ b/Tests/Jobs/LostTaskTest.cpp
@@ -131,6 +131,21 @@
   BOOST_TEST(m_Starts.size() == 11U);
 }
 
+BOOST_AUTO_TEST_CASE(AndIsNotSoonReturnedWhileAnotherOneDoes) {
+  addWorker("w1");
+  addWorker("w2");
+  submitLost(0);
+  submitLost(1);
+  BOOST_REQUIRE(m_Starts.size() == 1U);
+  advanceTime(1000);
+  BOOST_TEST(m_EndedStoredTasks.empty());
+  // It does not compete with ordinary tasks for the capacity left.
+  BOOST_TEST(m_Scheduler.waitingTasks() == 0U);
+  advanceTime(5000);
+  BOOST_REQUIRE(m_EndedStoredTasks.size() == 1U);
+  BOOST_TEST((m_EndedStoredTasks[0].m_EndKind == StoredRunEnd::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(WithoutBlameForTheWorker) {
   addWorker("w1");
   for (std::uint32_t Index = 0; Index < 5; ++Index) {
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -17,6 +17,10 @@
   /// capacity here. Spans several updates of the owners' load, after which
   /// another owner may have free capacity.
   double m_StoredWaitMs = 200;
+  /// The same for a stored task that runs alone. It waits for such tasks before
+  /// it rather than for free capacity, which other owners would not offer
+  /// either.
+  double m_IsolatedWaitMs = 5000;
   /// Stored tasks have no caller's deadline; they are ranked as if their
   /// deadline were this long after their submission to the scheduler.
   double m_StoredDeadlineMs = 3600000;
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -153,6 +153,8 @@
   // Status.
   /// Returns how many tasks of typical size could start now.
   std::size_t freeSlots(TimePoint Now) const;
+  /// Returns how many tasks wait for free capacity, without those that wait to
+  /// run alone.
   std::size_t waitingTasks() const;
   std::size_t jobs() const { return m_Jobs.size(); }
   const WorkerRegistry &workers() const { return m_Workers; }
@@ -187,6 +189,7 @@
     std::size_t m_UnfinishedTasks = 0; ///< Tasks without a successful run.
     std::size_t m_Runs = 0;            ///< Start orders issued.
     std::size_t m_PossibleStarts = 0; ///< Start orders not known to be refused.
+    bool m_HasLostTasks = false;      ///< Tasks that must run alone.
     bool m_Stored = false;            ///< Wraps one run of a stored task.
     std::uint32_t m_StoredNumber = 0; ///< Number of the run in its ledger.
   };
