Jobs: Count no crash under a run that its worker has not accepted

Cause: a lost run counts with the incarnation that the order was meant for, whether it arrived or not; the restart of that worker then confirms a crash under the task. A session now reports such a loss without the start of the incarnation, so that it still counts as one of five lost runs, but no restart makes it a crash. The ledger does not wait for evidence that cannot come.

Two cases of WorkerSessionTest expected the start of the incarnation for runs that were never accepted, which is the fault; they now compare the whole incarnation, without its start.

--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -50,7 +50,9 @@
 double JobLedger::verdictWaitMs(const LedgerJob &Job,
                                 std::uint32_t TaskIndex) const {
   std::uint32_t Losses = countLosses(Job, TaskIndex).m_Losses;
-  if (Losses < 2 || lastLostRun(Job, TaskIndex)->m_HasCrashed)
+  const LostRun *Last = lastLostRun(Job, TaskIndex);
+  // No evidence can follow if the incarnation is unknown.
+  if (Losses < 2 || Last->m_HasCrashed || Last->m_On.m_StartMs == 0)
     return 0;
   return m_Parameters.m_CrashVerdictMs * std::exp2(Losses - 2);
 }
--- a/Tests/Jobs/JobLedgerLossesTest.cpp
+++ b/Tests/Jobs/JobLedgerLossesTest.cpp
@@ -179,6 +179,19 @@
   BOOST_TEST(start().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(DoesNotFailItsJobForWorkersThatMayNotHaveStartedIt) {
+  restartWorker(2);
+  advanceTime(100);
+  auto Task = start();
+  BOOST_REQUIRE(Task.has_value());
+  loseRun(*Task, {"w", worker(3).m_Address, 0});
+  store();
+  restartWorker(3);
+  auto Again = start();
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->m_LostRuns == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(IsNotHeldForEverIfKeepersCrash) {
   takeOver();
   advanceTime(6100);
--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -373,7 +373,7 @@
   answerRenewal(makeReply({}, {}, 2));
   BOOST_REQUIRE(m_Ended.contains(1));
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
-  BOOST_TEST(m_LostWith.at(1).m_StartMs == 1);
+  BOOST_TEST((m_LostWith.at(1) == WorkerIncarnation{"w", "10.0.0.1:1", 0}));
 }
 
 BOOST_AUTO_TEST_CASE(StopsItAgainWhenTheStopIsNotAnsweredEither) {
@@ -480,7 +480,7 @@
   loseWorker();
   BOOST_REQUIRE(m_Ended.contains(1));
   BOOST_TEST((m_Ended.at(1) == RunEnd::Lost));
-  BOOST_TEST(m_LostWith.at(1).m_StartMs == 1);
+  BOOST_TEST((m_LostWith.at(1) == WorkerIncarnation{"w", "10.0.0.1:1", 0}));
 }
 
 BOOST_AUTO_TEST_CASE(ReportsARunLapsedIfItWasLeaving) {
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -78,7 +78,8 @@
   std::function<void(RunId)> m_Accepted;
   /// The run has not started and never will.
   std::function<void(RunId, RefusalReason)> m_Refused;
-  /// LostWith names the worker if the run was lost, and is empty otherwise.
+  /// LostWith names the worker if the run was lost, and is empty otherwise. Its
+  /// start is 0 if the worker has not accepted the run.
   std::function<void(RunId, RunEnd, const WorkerIncarnation &LostWith)> m_Ended;
   std::function<void(RunId, double Percent)> m_Progress;
   /// The worker lists the end of a run that this session did not order. Returns
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -571,9 +571,13 @@
 
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::endRun(RunId Id, RunEnd End) {
-  auto Ended = m_Runs.extract(Id);
-  bool IsLost = End == RunEnd::Lost;
-  m_Events.m_Ended(Id, End, IsLost ? Ended.mapped().m_On : WorkerIncarnation());
+  SessionRun Ended = std::move(m_Runs.extract(Id).mapped());
+  WorkerIncarnation LostWith =
+      End == RunEnd::Lost ? std::move(Ended.m_On) : WorkerIncarnation();
+  // The worker may have crashed before the order arrived.
+  if (!Ended.m_Accepted)
+    LostWith.m_StartMs = 0;
+  m_Events.m_Ended(Id, End, LostWith);
 }
 
 template <WorkerTransport Transport>
