Net: Read answers that arrived during a pause before a call times out

Callers of a job saw nothing, but a task was started a second time after its first run had been stopped for no reason: PlatformTest, ANodeOnThePlatform/ WhenItIsPaused/ForLessThanTheTimeoutItsJobsContinue, 3 starts instead of 2.

Cause: a node that is paused between an order and its answer wakes with both the timeout due and the answer in the socket. The timer runs before the answer has been read to its end, so the order is taken for unanswered and its run is stopped. Traced in four failures with logs (order_unanswered right after the pause).

A timeout that is handled more than 20 ms late is now extended once by 5 ms, in which the answer is read. The new test of the client failed before.

--- a/Source/Net/LoopHttpClient.cpp
+++ b/Source/Net/LoopHttpClient.cpp
@@ -26,6 +26,13 @@
 /// Receive buffer of a connection to begin with, in bytes.
 constexpr std::size_t InitialBufferBytes = 1024;
 
+/// A timeout that is handled later than this after it was due belongs to a
+/// process that was paused; answers may have arrived in the meantime.
+constexpr double LateTimeoutMs = 20;
+
+/// Time to read such answers.
+constexpr EventLoop::Duration LateAnswerTime{5};
+
 struct Connection {
   explicit Connection(boost::asio::io_context &Io) : m_Socket(Io) {}
   Tcp::socket m_Socket;
@@ -78,11 +85,7 @@
 
   void start(HttpRequest Request, EventLoop::Duration Timeout) {
     prepare(std::move(Request));
-    std::weak_ptr<Exchange> Weak = weak_from_this();
-    m_Timer = m_Pool->m_Loop.once(Timeout, [Weak] {
-      if (auto Self = Weak.lock())
-        Self->finish(absl::DeadlineExceededError("no answer in time"));
-    });
+    startTimer(Timeout);
     m_Connection = m_Pool->takeIdle(m_To);
     if (m_Connection)
       write();
@@ -91,6 +94,22 @@
   }
 
 private:
+  void startTimer(EventLoop::Duration Timeout) {
+    std::weak_ptr<Exchange> Weak = weak_from_this();
+    TimePoint DueAt = EventLoop::now() + Timeout;
+    m_Timer = m_Pool->m_Loop.once(Timeout, [Weak, DueAt] {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      bool IsLate =
+          millisecondsBetween(DueAt, EventLoop::now()) > LateTimeoutMs;
+      if (IsLate && !std::exchange(Self->m_IsExtended, true))
+        Self->startTimer(LateAnswerTime);
+      else
+        Self->finish(absl::DeadlineExceededError("no answer in time"));
+    });
+  }
+
   void prepare(HttpRequest Request) {
     m_Request.method_string(Request.m_Method);
     m_Request.target(Request.m_Path);
@@ -188,6 +207,7 @@
   Address m_To;
   Done m_Done;
   EventLoop::Timer m_Timer;
+  bool m_IsExtended = false; ///< The timeout was late.
   std::unique_ptr<Connection> m_Connection;
   http::request<http::string_body> m_Request;
   std::optional<http::response_parser<http::string_body>> m_Parser;
--- a/Tests/Net/LoopHttpTest.cpp
+++ b/Tests/Net/LoopHttpTest.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace auburnhub;
@@ -24,12 +25,13 @@
     BOOST_REQUIRE(m_Server.listen({"127.0.0.1", 0}).ok());
   }
 
-  void call(int TimeoutMs = 10000) {
+  void call(int TimeoutMs = 10000) { callPort(m_Server.port(), TimeoutMs); }
+
+  void callPort(std::uint16_t Port, int TimeoutMs) {
     m_Answer.reset();
     HttpRequest Request;
     Request.m_Path = "/";
-    m_Client.call({"127.0.0.1", m_Server.port()}, Request,
-                  EventLoop::Duration(TimeoutMs),
+    m_Client.call({"127.0.0.1", Port}, Request, EventLoop::Duration(TimeoutMs),
                   [this](absl::StatusOr<HttpResponse> Response) {
                     m_Answer = std::move(Response);
                   });
@@ -156,3 +158,20 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ACallerThatWasPaused, Fixture)
+
+BOOST_AUTO_TEST_CASE(ReadsAnAnswerThatArrivedInTime) {
+  tcp::acceptor Acceptor(m_Loop.io(), {tcp::v4(), 0});
+  callPort(Acceptor.local_endpoint().port(), 50);
+  tcp::socket Server = Acceptor.accept();
+  until([&] { return Server.available() > 0; });
+  boost::asio::write(Server, boost::asio::buffer(std::string(
+                                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+                                 "\r\nhi")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  until([this] { return m_Answer.has_value(); });
+  BOOST_TEST(m_Answer->ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
