Tests: Let stand-ins execute delayed starts after a restart

The stand-in of a worker lost its delayed start orders when it crashed, and its clock began at 0, so that such an order had expired in any case. No test and no soak could show an order that reaches the next incarnation. Delayed starts now survive the crash, raise the token as other orders do, and the first incarnation's clock is ahead of the later ones'.

AndItsWorkerRestarts runs the real node: an unanswered start is stopped, the task is started on the other worker, and the first one restarts.

--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t MaxLeaseMs = 1000;
+/// What the clock of the first incarnation is ahead of those of later ones.
+constexpr double FirstUptimeMs = 60000;
 
 HttpResponse jsonResponse(int Status, const nlohmann::json &Body) {
   HttpResponse Response;
@@ -20,7 +22,7 @@
 FakeExecutor::FakeExecutor(EventLoop &Loop, std::string Id)
     : m_Loop(Loop), m_Id(std::move(Id)),
       m_Server(Loop, [this](const HttpExchange &E) { onCall(E); }),
-      m_IncarnationStart(EventLoop::now()) {}
+      m_IncarnationStart(addMs(EventLoop::now(), -FirstUptimeMs)) {}
 
 std::string FakeExecutor::registration(const std::string &Service,
                                        const std::string &Zone,
@@ -80,7 +82,6 @@
     m_Journal.push_back({Task, Item.m_Run, "crashed", Now});
   m_Ended.clear();
   m_HighestRun.clear();
-  m_DelayTimers.clear();
   m_LeaseTimer.reset();
   m_LeaseUntilMs = 0;
   m_LastSequence = 0;
@@ -115,8 +116,11 @@
     m_Unanswered.push_back(Exchange);
     m_DelayTimers.push_back(
         m_Loop.once(m_Behaviour.m_StartDelay, [this, Exchange, Body] {
-          if (Body.value("fencing_token", std::uint64_t{0}) >= m_Token)
-            onStart(Exchange, Body);
+          auto Token = Body.value("fencing_token", std::uint64_t{0});
+          if (Token < m_Token)
+            return;
+          m_Token = Token;
+          onStart(Exchange, Body);
         }));
     return;
   }
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -62,6 +62,7 @@
   }
 
   /// Ends all runs and loses all state, like a restart as a new incarnation.
+  /// Delayed start orders are executed by the new incarnation.
   void crash();
 
   /// Clears m_Hangs, and lets the hanging runs begin their run time now.
--- a/Tests/Platform/NodeProgramTest.cpp
+++ b/Tests/Platform/NodeProgramTest.cpp
@@ -342,6 +342,26 @@
   BOOST_TEST(!hasOverlappingRuns());
 }
 
+BOOST_FIXTURE_TEST_CASE(AndItsWorkerRestarts, OneNode) {
+  constexpr int MaxDelayed = 100;
+  executor(0).behaviour().m_DelayedStarts = MaxDelayed;
+  executor(0).behaviour().m_StartDelay = EventLoop::Duration(4000);
+  executor(1).behaviour().m_RunTime = EventLoop::Duration(10000);
+  auto Reply = submit(0, JobA, 1, 15000);
+  BOOST_REQUIRE(until(
+      [&] { return executor(0).behaviour().m_DelayedStarts < MaxDelayed; }));
+  // The next run is started on the other worker.
+  registerExecutor(executor(0), "draining");
+  BOOST_REQUIRE(until([&] { return executor(1).running() == 1; }));
+  executor(0).crash();
+  TimePoint RestartedAt = EventLoop::now();
+  BOOST_TEST(until([&] {
+    return millisecondsBetween(RestartedAt, EventLoop::now()) > 4500;
+  }));
+  BOOST_TEST(executor(0).starts() == 0U);
+  BOOST_TEST(!hasOverlappingRuns());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenAnOwnerDies)
