Jobs, Node: Settle lint findings in sessions and hosts

The conditional chain after a renewal had two equal branches; the pauses share one function now. The lowest tokens are kept by shard name, as in ShardProber. Lint is clean on the tests that instantiate both, and JobsTest's sessions and NodeTest pass.

--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -197,6 +197,7 @@
                 std::function<void(const OrderReply &)> Answered);
   void sendRunStop(RunId Id);
   void renew();
+  void renewAfter(double PauseMs);
   void onRenewAnswer(TimePoint SentAt, const RenewReply &Reply);
   void onUnresponsive();
   void scheduleProbe();
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -383,18 +383,18 @@
   acknowledgeAfterExpiry(EventLoop::now());
   if (m_Renewing)
     return;
-  if (HasRestarted)
-    renew();
-  else if (!m_KeptEnds.empty())
-    m_Probe = m_Loop.once(
-        EventLoop::Duration(static_cast<int>(m_Settings.m_KeptEndPauseMs)),
-        [this] { renew(); });
-  else if (!m_Runs.empty() || lastAcknowledgeableEnd() > m_LastEndSent)
+  bool IsBusy = !m_Runs.empty() || lastAcknowledgeableEnd() > m_LastEndSent;
+  if (HasRestarted || (m_KeptEnds.empty() && IsBusy))
     renew();
-  else if (mayHaveDelayedStarts())
-    m_Probe = m_Loop.once(
-        EventLoop::Duration(static_cast<int>(m_Settings.m_MaxProbeMs)),
-        [this] { renew(); });
+  else if (!m_KeptEnds.empty() || mayHaveDelayedStarts())
+    renewAfter(m_KeptEnds.empty() ? m_Settings.m_MaxProbeMs
+                                  : m_Settings.m_KeptEndPauseMs);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::renewAfter(double PauseMs) {
+  m_Probe = m_Loop.once(EventLoop::Duration(static_cast<int>(PauseMs)),
+                        [this] { renew(); });
 }
 
 template <WorkerTransport Transport>
@@ -558,8 +558,7 @@
 void WorkerSession<Transport>::scheduleProbe() {
   if (m_Renewing)
     return;
-  m_Probe = m_Loop.once(EventLoop::Duration(static_cast<int>(m_ProbePauseMs)),
-                        [this] { renew(); });
+  renewAfter(m_ProbePauseMs);
   m_ProbePauseMs = std::clamp(2 * m_ProbePauseMs, m_Settings.m_ProbeMs,
                               m_Settings.m_MaxProbeMs);
 }
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -118,9 +118,9 @@
   Log m_Log{"jobs"};
   JobScheduler m_Scheduler;
   std::map<std::string, OwnedWorker> m_OwnedWorkers;
-  /// Lowest token of the next sessions of each shard: above those of dropped
+  /// Lowest token of the next sessions by shard name: above those of dropped
   /// workers, which may return and would execute delayed orders of before.
-  std::map<ShardId, FencingToken> m_MinTokens;
+  std::map<std::string, FencingToken> m_MinTokens;
   std::map<RunId, RunRecord> m_Runs;
   bool m_EffectsPosted = false;
   EventLoop::Timer m_Timer;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -69,7 +69,7 @@
   Added.m_Assignment = Assignment;
   m_Scheduler.putWorker(EventLoop::now(), Assignment.m_Spec);
   FencingToken Token =
-      std::max(Assignment.m_Token, m_MinTokens[Assignment.m_Shard]);
+      std::max(Assignment.m_Token, m_MinTokens[Assignment.m_Shard.str()]);
   Added.m_Session = std::make_unique<Session>(
       m_Loop, m_Orders, m_Chart, m_Settings, m_Answers, Assignment.m_Spec,
       Token, sessionEvents(Id, Assignment.m_Shard));
@@ -160,7 +160,8 @@
     m_Runs.erase(Run);
     m_Scheduler.runAbandoned(EventLoop::now(), Run);
   }
-  FencingToken &MinToken = m_MinTokens[Found->second.m_Assignment.m_Shard];
+  FencingToken &MinToken =
+      m_MinTokens[Found->second.m_Assignment.m_Shard.str()];
   MinToken = std::max(MinToken, Found->second.m_Session->token() + 1);
   Found->second.m_Session->abandon();
   m_OwnedWorkers.erase(Found);
