--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -80,6 +80,7 @@
   void setCpuMillis(std::int64_t Value);
 
   /// Ends all runs and loses all state, like a restart as a new incarnation.
+  /// Delayed start orders are executed by the new incarnation.
   void crash();
   /// Crashes and answers nothing for m_RestartTime.
   void crashAndRestart();
