Jobs, Platform: Start nothing on registrations that a paused process missed

Callers' tasks were started on workers beyond their capacity (LIMIT): a process that stands still for seconds goes on, when it wakes, with the capacities that it read before. The workers may have shrunk meanwhile, and if no other node has taken the shard over, nothing fences the stale orders. The class of fault: a decision on a copy of another party's state, without looking at the age of the copy.

The scheduler now learns when the last read of the registrations was sent that has been answered or has failed, and starts nothing once that is more than 3 s ago. That is the time that a shrunk capacity may take to be known. Reads are 0.7 s apart and time out after 1.3 s, so the bound is not reached while the process runs, also if the store does not answer; a failed read counts, since workers are served on without the store. The time of sending is taken, because after a pause old answers and timeouts are handled first.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -30,6 +30,18 @@
   advance(Now);
 }
 
+void JobScheduler::refreshWorkers(TimePoint Now, TimePoint ReadAt) {
+  bool WereOutdated = areWorkersOutdated(Now);
+  m_WorkersReadAt = ReadAt;
+  if (WereOutdated)
+    advance(Now);
+}
+
+bool JobScheduler::areWorkersOutdated(TimePoint Now) const {
+  return m_WorkersReadAt && millisecondsBetween(*m_WorkersReadAt, Now) >
+                                m_Parameters.m_MaxWorkerAgeMs;
+}
+
 void JobScheduler::setReachable(TimePoint Now, const std::string &Worker,
                                 bool Reachable) {
   WorkerRecord *Record = m_Workers.find(Worker);
@@ -270,7 +282,8 @@
 
 void JobScheduler::advance(TimePoint Now) {
   checkStalled(Now);
-  startWaitingTasks(Now);
+  if (!areWorkersOutdated(Now))
+    startWaitingTasks(Now);
   checkDeadlines(Now);
 }
 
--- a/Tests/Jobs/JobSchedulerTest.cpp
+++ b/Tests/Jobs/JobSchedulerTest.cpp
@@ -314,6 +314,20 @@
   BOOST_TEST(m_Starts[2].m_Task.m_Job == "b");
 }
 
+BOOST_AUTO_TEST_CASE(StartsNothingWhileThatMayHaveBeenMissed) {
+  addWorker("w");
+  m_Scheduler.refreshWorkers(m_Now, m_Now);
+  JobRequest First = job("a", 1);
+  First.m_Policy.m_TargetLatencyMs = 10000;
+  advanceTime(JobParameters().m_MaxWorkerAgeMs + 1);
+  submit(First);
+  BOOST_TEST(m_Starts.empty());
+  addWorker("w", 6000);
+  m_Scheduler.refreshWorkers(m_Now, addMs(m_Now, -5));
+  collect();
+  BOOST_TEST(m_Starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesATaskThatFitsNowhereOnlyUntilItGrows) {
   addWorker("w");
   addWorker("w", 4000);
--- a/Tests/Platform/CapacityTest.cpp
+++ b/Tests/Platform/CapacityTest.cpp
@@ -113,6 +113,37 @@
   BOOST_TEST(startsOverCapacity() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(WhileItsOwnerCannotReadTheStore) {
+  load(EventLoop::Duration(500));
+  for (auto Mode :
+       {FakeStore::ResponseMode::Refusing, FakeStore::ResponseMode::Silent}) {
+    resizeAll(FakeExecutor::CpuMillis);
+    load(EventLoop::Duration(1500));
+    store().setListenerResponseMode(storeListener(0), Mode);
+    load(EventLoop::Duration(500));
+    resizeAll(OneTaskCpuMillis);
+    load(NoticedTime + EventLoop::Duration(2000));
+    BOOST_TEST(startsOverCapacity() == 0U);
+    store().setListenerResponseMode(storeListener(0),
+                                    FakeStore::ResponseMode::Serving);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhenAllNodesWerePausedMeanwhile) {
+  for (int Round = 0; Round < 3; ++Round) {
+    resizeAll(FakeExecutor::CpuMillis);
+    load(EventLoop::Duration(1500));
+    for (std::size_t I = 0; I < nodes(); ++I)
+      signal(I, SIGSTOP);
+    resizeAll(OneTaskCpuMillis);
+    load(NoticedTime + EventLoop::Duration(200));
+    for (std::size_t I = 0; I < nodes(); ++I)
+      signal(I, SIGCONT);
+    load(EventLoop::Duration(2000));
+  }
+  BOOST_TEST(startsOverCapacity() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(WhileRunsAreBeingStopped) {
   m_RunMs = 600;
   m_DeadlineMs = 400;
--- a/Tests/Platform/DecodingTest.cpp
+++ b/Tests/Platform/DecodingTest.cpp
@@ -197,6 +197,7 @@
     Result.m_WorkerRemoved = [this](const std::string &Id) {
       m_Removed.push_back(Id);
     };
+    Result.m_WorkersReadEnded = [](TimePoint) {};
     return Result;
   }
   StoreWatch m_Watch{m_Loop, m_Store, "n", "127.0.0.1:9", events()};
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -17,6 +17,9 @@
   /// capacity here. Spans several updates of the owners' load, after which
   /// another owner may have free capacity.
   double m_StoredWaitMs = 200;
+  /// Nothing is started if the workers' descriptions are older than this. Above
+  /// the time between two reads of the log, also if both fail.
+  double m_MaxWorkerAgeMs = 3000;
   /// Stored tasks have no caller's deadline; they are ranked as if their
   /// deadline were this long after their submission to the scheduler.
   double m_StoredDeadlineMs = 3600000;
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -87,6 +87,10 @@
   // Workers.
   /// Adds a worker, which is unreachable at first, or updates its description.
   void putWorker(TimePoint Now, const WorkerSpec &Spec);
+  /// The descriptions of the workers are those of this time, or could not be
+  /// read then. Once called, nothing is started m_MaxWorkerAgeMs after ReadAt:
+  /// a process that was paused may have missed that a worker has shrunk.
+  void refreshWorkers(TimePoint Now, TimePoint ReadAt);
   void setReachable(TimePoint Now, const std::string &Worker, bool Reachable);
   /// Gives the worker no more runs. The end of each of its runs must still be
   /// reported with runEnded().
@@ -217,6 +221,7 @@
                               const std::string &Worker) const;
   std::unique_ptr<ActiveJob> makeJob(TimePoint Now, JobRequest Request) const;
   void stopRun(ActiveRun &Run, RunId Id, JobReason Reason);
+  bool areWorkersOutdated(TimePoint Now) const;
   bool isStalled(const ActiveRun &Run) const;
   /// Returns whether the progress has not increased for MinMs and for
   /// m_NoProgressPercents times the run's mean time per percent.
@@ -248,6 +253,7 @@
   Resources m_TypicalTask; ///< Learned; only its CPU is set.
   bool m_HasTypicalTask = false;
   RunId m_LastRun = 0;
+  std::optional<TimePoint> m_WorkersReadAt; ///< See refreshWorkers().
   std::vector<JobEffect> m_Effects;
 };
 
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -87,6 +87,9 @@
   /// Called when the list of workers has been read completely. No shard is
   /// claimed before this call.
   void markWorkersComplete();
+  /// The registrations passed to putWorker() are those of this time, or could
+  /// not be read then. See JobScheduler::refreshWorkers().
+  void refreshWorkers(TimePoint ReadAt);
 
   /// Stores a document, to serve it to peers that cannot read it from the
   /// platform.
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -136,6 +136,12 @@
     scheduleOwnershipUpdate();
 }
 
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::refreshWorkers(TimePoint ReadAt) {
+  // Posted after the update that passes changed registrations to the host.
+  m_Loop.post([this, ReadAt] { m_Host.refreshWorkers(ReadAt); });
+}
+
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::markDirectoryComplete() {
   if (!std::exchange(m_DirectoryComplete, true))
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -56,6 +56,12 @@
   /// Their runs are abandoned.
   void dropShard(const ShardId &Shard);
 
+  /// See JobScheduler::refreshWorkers().
+  void refreshWorkers(TimePoint ReadAt) {
+    m_Scheduler.refreshWorkers(EventLoop::now(), ReadAt);
+    scheduleEffects();
+  }
+
   void submit(JobRequest Request);
   void submit(const StoredTask &Task);
   /// Returns whether the job was known.
