Tests: Let workers shrink and grow in the soak

A series of its own changes the capacity of single workers for 0.5 to 9 s, so that the other faults of a seed remain as they are; every second worker does not guard its capacity. A start above each capacity of the last 4 s is a finding, unless a node was kept from reading the store in that time.

--- a/Tests/Platform/CapacityTest.cpp
+++ b/Tests/Platform/CapacityTest.cpp
@@ -61,7 +61,7 @@
   std::size_t startsOverCapacity() const {
     std::size_t Total = 0;
     for (std::size_t I = 0; I < executors(); ++I)
-      Total += executor(I).startsOverCapacity();
+      Total += executor(I).startsOverCapacity().size();
     return Total;
   }
 
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -216,7 +216,7 @@
     return;
   }
   if (cpuMillisInUse() + Cpu > noticedCpuMillis())
-    ++m_StartsOverCapacity;
+    m_StartsOverCapacity.push_back(EventLoop::now());
   auto RunTime = static_cast<double>(m_Behaviour.m_RunTime.count());
   Running &Added = m_Running[Task];
   Added.m_Run = Run;
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -94,9 +94,11 @@
   std::size_t unacknowledgedEnds() const { return m_Ended.size(); }
   /// Returns the peak CPU use, in thousandths of a core.
   std::int64_t peakCpuMillis() const { return m_PeakCpuMillis; }
-  /// Returns the number of starts that brought the CPU use above each capacity
+  /// Returns the times of starts that brought the CPU use above each capacity
   /// stated within CapacityNoticeTime before.
-  std::size_t startsOverCapacity() const { return m_StartsOverCapacity; }
+  const std::vector<TimePoint> &startsOverCapacity() const {
+    return m_StartsOverCapacity;
+  }
   static constexpr std::int64_t CpuMillis = 16000;
   /// Time within which a change of the capacity need not be known to owners.
   static constexpr EventLoop::Duration CapacityNoticeTime{4000};
@@ -146,7 +148,7 @@
   /// Capacities stated since the start of the incarnation, and since when.
   std::vector<std::pair<TimePoint, std::int64_t>> m_Capacities;
   std::int64_t m_PeakCpuMillis = 0;
-  std::size_t m_StartsOverCapacity = 0;
+  std::vector<TimePoint> m_StartsOverCapacity;
   std::uint64_t m_Token = 0;
   std::map<std::string, Running> m_Running;
   std::map<std::string, std::uint32_t>
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -15,6 +15,9 @@
 constexpr double DrainMs = 2000;
 /// A machine counts as undisturbed once nothing has harmed it for so long.
 constexpr double ContactMs = 3000;
+/// Disturbances during which a node may miss that a worker has shrunk.
+constexpr std::array<std::string_view, 3> OfTheStore = {
+    "store-down", "turned-away", "cut-from-store"};
 /// What a start may be late on its way to a worker.
 constexpr double PathMs = 100;
 
@@ -74,6 +77,18 @@
                         });
   }
 
+  /// Tells whether every node could read registrations before a time.
+  bool couldReadStore(TimePoint Until) const {
+    TimePoint From = Until - platform::FakeExecutor::CapacityNoticeTime;
+    return std::none_of(m_Seen.m_Disturbances.begin(),
+                        m_Seen.m_Disturbances.end(),
+                        [&](const Disturbance &Each) {
+                          return std::find(OfTheStore.begin(), OfTheStore.end(),
+                                           Each.m_Kind) != OfTheStore.end() &&
+                                 Each.m_Begin <= Until && Each.m_End >= From;
+                        });
+  }
+
   void checkTask(const std::string &Task, const std::vector<Event> &Events) {
     auto Found = m_Jobs.find(jobOf(Task));
     if (Found == m_Jobs.end()) {
@@ -121,6 +136,9 @@
   void checkExecutor(const ExecutorHistory &Executor) {
     if (Executor.m_PeakCpuMillis > platform::FakeExecutor::CpuMillis)
       find(Breach::OverCapacity, Executor.m_Id);
+    for (TimePoint At : Executor.m_StartsOverCapacity)
+      if (couldReadStore(At))
+        find(Breach::OverCapacity, Executor.m_Id + " after it has shrunk");
     if (!Executor.m_DrainingSince)
       return;
     for (const Event &Item : Executor.m_Journal)
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -48,6 +48,7 @@
   std::vector<platform::FakeExecutor::Event> m_Journal;
   std::int64_t m_PeakCpuMillis = 0;
   std::optional<TimePoint> m_DrainingSince;
+  std::vector<TimePoint> m_StartsOverCapacity;
 };
 
 /// All that was seen in a soak.
--- a/Tests/Soak/SoakCheckerTest.cpp
+++ b/Tests/Soak/SoakCheckerTest.cpp
@@ -28,7 +28,7 @@
     Job.m_State = "completed";
     call("POST", 0, 10, 200, "queued");
     call("GET", 200, 210, 200, "completed");
-    m_Seen.m_Executors.push_back({"i-0", {}, 6000, {}});
+    m_Seen.m_Executors.push_back({"i-0", {}, 6000, {}, {}});
     event(1, "start", 20);
     event(1, "done", 100);
     event(1, "acknowledged", 120);
@@ -125,6 +125,13 @@
   BOOST_TEST(finds(Breach::OverCapacity));
 }
 
+BOOST_AUTO_TEST_CASE(OnAWorkerThatHasShrunk) {
+  m_Seen.m_Executors.front().m_StartsOverCapacity = {at(5000)};
+  BOOST_TEST(finds(Breach::OverCapacity));
+  disturb("store-down", 500, 1500, /*Planned=*/false);
+  BOOST_TEST(!finds(Breach::OverCapacity));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(FindsAnAnswer)
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -21,11 +21,18 @@
 
 SoakFaults::SoakFaults(platform::PlatformCluster &Cluster, SoakLoad &Load,
                        std::uint64_t Seed)
-    : m_Cluster(Cluster), m_Load(Load), m_Random(Seed) {}
+    : m_Cluster(Cluster), m_Load(Load), m_Random(Seed),
+      m_ResizeRandom(Seed + 1) {}
 
-void SoakFaults::start(double MeanPauseMs) { beginLater(MeanPauseMs); }
+void SoakFaults::start(double MeanPauseMs) {
+  beginLater(MeanPauseMs);
+  resizeLater(2 * MeanPauseMs);
+}
 
-void SoakFaults::stop() { m_Next.reset(); }
+void SoakFaults::stop() {
+  m_Next.reset();
+  m_NextResize.reset();
+}
 
 void SoakFaults::beginLater(double MeanPauseMs) {
   double PauseMs = std::exponential_distribution<>(1 / MeanPauseMs)(m_Random);
@@ -364,6 +371,39 @@
   return Found->second;
 }
 
+void SoakFaults::resizeLater(double MeanPauseMs) {
+  double PauseMs =
+      std::exponential_distribution<>(1 / MeanPauseMs)(m_ResizeRandom);
+  m_NextResize = m_Cluster.loop().once(Duration(static_cast<int>(PauseMs) + 1),
+                                       [this, MeanPauseMs] {
+                                         resizeExecutor();
+                                         resizeLater(MeanPauseMs);
+                                       });
+}
+
+void SoakFaults::resizeExecutor() {
+  std::uniform_int_distribution<std::size_t> Any(0, m_Cluster.executors() - 1);
+  std::uniform_int_distribution<std::int64_t> Capacity(
+      0, platform::FakeExecutor::CpuMillis);
+  std::uniform_int_distribution<int> LastsMs(500, 9000);
+  std::size_t Executor = Any(m_ResizeRandom);
+  if (!m_Shrunk.insert(Executor).second)
+    return;
+  std::size_t Past = begin("executor-resized", /*Planned=*/true);
+  setCapacity(Executor, Capacity(m_ResizeRandom));
+  healLater(Past, Duration(LastsMs(m_ResizeRandom)), [this, Executor] {
+    setCapacity(Executor, platform::FakeExecutor::CpuMillis);
+    m_Shrunk.erase(Executor);
+  });
+}
+
+void SoakFaults::setCapacity(std::size_t Executor, std::int64_t CpuMillis) {
+  m_Cluster.executor(Executor).setCpuMillis(CpuMillis);
+  m_Cluster.registerExecutor(m_Cluster.executor(Executor),
+                             m_Draining.contains(Executor) ? "draining"
+                                                           : "ready");
+}
+
 // Plans and callers.
 
 void SoakFaults::changeConfiguration() {
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,11 @@
   void failExecutor();
   void delayOrders();
   void drainExecutor();
+  /// Shrinks an executor for a while. A series of its own, so that the other
+  /// faults of a seed remain as they are.
+  void resizeLater(double MeanPauseMs);
+  void resizeExecutor();
+  void setCapacity(std::size_t Executor, std::int64_t CpuMillis);
 
   // Plans and callers.
   void changeConfiguration();
@@ -93,14 +99,17 @@
   platform::PlatformCluster &m_Cluster;
   SoakLoad &m_Load;
   std::mt19937_64 m_Random;
+  std::mt19937_64 m_ResizeRandom;
   std::vector<Disturbance> m_Past;
   std::size_t m_Open = 0;
   std::map<std::size_t, std::string> m_HarmedNodes;
   std::map<std::size_t, std::string> m_HarmedExecutors;
   std::map<std::size_t, TimePoint> m_Draining;
+  std::set<std::size_t> m_Shrunk;
   std::vector<std::size_t> m_SlowStops;
   std::uint64_t m_Version = 1;
   EventLoop::Timer m_Next;
+  EventLoop::Timer m_NextResize;
   std::vector<EventLoop::Timer> m_Timers;
 };
 
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -47,6 +47,7 @@
       constexpr double SlowClock = 0.98;
       m_Cluster.addExecutor().behaviour().m_ClockRate =
           I % 3 == 0 ? SlowClock : 1;
+      m_Cluster.executor(I).behaviour().m_GuardsCapacity = I % 2 == 0;
     }
     for (std::size_t I = 0; I != m_Settings.m_Nodes; ++I)
       m_Cluster.addNode();
@@ -189,7 +190,8 @@
     for (std::size_t I = 0; I != m_Cluster.executors(); ++I)
       Seen.m_Executors.push_back(
           {m_Cluster.executor(I).id(), m_Cluster.executor(I).journal(),
-           m_Cluster.executor(I).peakCpuMillis(), m_Faults.drainingSince(I)});
+           m_Cluster.executor(I).peakCpuMillis(), m_Faults.drainingSince(I),
+           m_Cluster.executor(I).startsOverCapacity()});
     Seen.m_Disturbances = m_Faults.disturbances();
     for (Finding &Each : checkSoak(Seen))
       m_Findings.push_back(std::move(Each));
