--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -21,6 +21,9 @@
   /// it rather than for free capacity, which other owners would not offer
   /// either.
   double m_IsolatedWaitMs = 5000;
+  /// Nothing is started if the workers' descriptions are older than this. Above
+  /// the time between two reads of the log, also if both fail.
+  double m_MaxWorkerAgeMs = 3000;
   /// Stored tasks have no caller's deadline; they are ranked as if their
   /// deadline were this long after their submission to the scheduler.
   double m_StoredDeadlineMs = 3600000;
