Node: Acknowledge an end to every worker that lists it

A best-effort job whose node is lost is sent again under the same id and numbers its runs from 1 again, so that two workers can list the end of the same run. An owner that takes both workers over keeps the end until the keeper has confirmed it, but kept one worker for it: the second replaced the first, which was never told. Ends can be acknowledged in order only, so all later ends of that worker were kept too.

All workers that list the end are kept and told now. Before, both cases of TheEndOfARunThatTwoWorkersList failed: one worker was told instead of two.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -91,9 +91,16 @@
   auto Found = m_Runs.find({Msg.m_Run.m_Task, Msg.m_Run.m_Number});
   if (Found == m_Runs.end() || !Found->second.m_End)
     return;
-  std::string Worker = Found->second.m_Worker;
+  Run Ended = std::move(Found->second);
   m_Runs.erase(Found);
-  m_Effects.m_Acknowledge(Worker, Msg);
+  acknowledge(Ended, Msg);
+}
+
+void StoredRuns::acknowledge(const Run &Ended,
+                             const StoredEndConfirmed &Msg) const {
+  m_Effects.m_Acknowledge(Ended.m_Worker, Msg);
+  for (const std::string &Worker : Ended.m_OtherWorkers)
+    m_Effects.m_Acknowledge(Worker, Msg);
 }
 
 void StoredRuns::keeperLost(const std::string &Keeper) {
@@ -160,7 +167,10 @@
   if (MustKeep) {
     Run &Added = m_Runs[{Task, Number}];
     Added.m_PartitionId = Report.m_PartitionId;
-    Added.m_Worker = Worker;
+    if (!Added.m_End)
+      Added.m_Worker = Worker;
+    else if (Added.m_Worker != Worker)
+      Added.m_OtherWorkers.insert(Worker);
     Added.m_End = Report;
   }
   report(std::move(Report));
@@ -177,8 +187,7 @@
   // stored; their workers may forget them.
   auto KeptRuns = std::exchange(m_Runs, {});
   for (const auto &[Key, OwnedRun] : KeptRuns)
-    m_Effects.m_Acknowledge(OwnedRun.m_Worker,
-                            {{Key.first, Key.second}, false});
+    acknowledge(OwnedRun, {{Key.first, Key.second}, false});
 }
 
 } // namespace auburnhub
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace auburnhub {
@@ -80,6 +81,9 @@
   struct Run {
     std::uint32_t m_PartitionId = 0;
     std::string m_Worker;
+    /// Further workers that list the end: a best-effort job that is sent again
+    /// reuses its run numbers.
+    std::set<std::string> m_OtherWorkers;
     std::optional<StoredTaskReport> m_End; ///< Reported, but not stored yet.
   };
   using RunKey = std::pair<TaskRef, std::uint32_t>;
@@ -88,6 +92,8 @@
   /// records the keeper if so.
   bool acceptClaim(const std::string &Keeper, const LedgerClaim &Claim);
   void report(StoredTaskReport Report);
+  /// Acknowledges the end of a run to all workers that list it.
+  void acknowledge(const Run &Ended, const StoredEndConfirmed &Msg) const;
   void stopOrphans(std::uint32_t PartitionId);
 
   EventLoop &m_Loop;
