--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -27,6 +27,7 @@
 
 void JobScheduler::putWorker(TimePoint Now, const WorkerSpec &Spec) {
   m_Workers.put(Spec);
+  giveUpLostTasks(Now);
   advance(Now);
 }
 
@@ -148,10 +149,14 @@
   // The age of the job affects its rank but not how long the task may wait
   // here.
   Job.m_Submitted = addMs(Now, -Stored.m_AgeMs);
-  Job.m_WaitUntil = addMs(Now, m_Parameters.m_StoredWaitMs);
+  Job.m_WaitUntil =
+      addMs(Now, Stored.m_LostRuns > 0 ? m_Parameters.m_IsolatedWaitMs
+                                       : m_Parameters.m_StoredWaitMs);
   ActiveTask &Task = Job.m_Tasks.emplace_back();
   Task.m_Ref = Stored.task();
   Task.m_LastNumber = Stored.m_Number - 1;
+  Task.m_Losses.m_Losses = Stored.m_LostRuns;
+  Job.m_HasLostTasks = Stored.m_LostRuns > 0;
   Task.m_AvoidedWorkers.insert(Stored.m_AvoidedWorkers.begin(),
                                Stored.m_AvoidedWorkers.end());
   Job.m_UnfinishedTasks = 1;
@@ -161,8 +166,12 @@
       m_Jobs.contains(Id) || !Fits || m_Jobs.size() >= m_Parameters.m_MaxJobs;
   if (Refused) {
     m_Effects.emplace_back(
-        StoredTaskEnded{Task.m_Ref, Stored.m_Number, StoredRunEnd::NotRun,
-                        Fits ? JobReason::NoRoom : JobReason::NeverFits, ""});
+        StoredTaskEnded{Task.m_Ref,
+                        Stored.m_Number,
+                        StoredRunEnd::NotRun,
+                        Fits ? JobReason::NoRoom : JobReason::NeverFits,
+                        "",
+                        {}});
     return;
   }
   learnTaskSize(Stored.m_Step.m_TaskResources);
@@ -185,10 +194,11 @@
 }
 
 void JobScheduler::finishStoredTask(ActiveJob &Job, StoredRunEnd Outcome,
-                                    JobReason Reason,
-                                    const std::string &Worker) {
-  m_Effects.emplace_back(StoredTaskEnded{
-      Job.m_Tasks.front().m_Ref, Job.m_StoredNumber, Outcome, Reason, Worker});
+                                    JobReason Reason, const std::string &Worker,
+                                    const WorkerIncarnation &LostWith) {
+  m_Effects.emplace_back(StoredTaskEnded{Job.m_Tasks.front().m_Ref,
+                                         Job.m_StoredNumber, Outcome, Reason,
+                                         Worker, LostWith});
   m_Jobs.erase(Job.m_Request.m_Id);
 }
 
@@ -267,7 +277,8 @@
   for (auto &[Id, Job] : m_Jobs) {
     if (Now >= Job->m_Deadline && !Job->m_Stored)
       Expired.emplace_back(Job.get(), JobReason::TimedOut);
-    else if (!Job->m_FirstStart && Now >= Job->m_WaitUntil)
+    else if (!Job->m_FirstStart && Now >= Job->m_WaitUntil &&
+             !hasWorkerSetAside(*Job, 0))
       Expired.emplace_back(Job.get(), JobReason::NoRoom);
   }
   for (auto [Job, Reason] : Expired)
@@ -285,6 +296,9 @@
   if (!areWorkersOutdated(Now))
     startWaitingTasks(Now);
   checkDeadlines(Now);
+  if (releaseWorkersSetAside())
+    startWaitingTasks(Now);
+  eraseUnusedIsolations();
 }
 
 JobScheduler::Rank JobScheduler::rank(TimePoint Now, const ActiveJob &Job,
@@ -304,6 +318,7 @@
 }
 
 void JobScheduler::startWaitingTasks(TimePoint Now) {
+  releaseWorkersSetAside();
   std::vector<std::pair<Rank, ActiveJob *>> Order;
   std::map<std::string_view, double> BestSpeeds;
   for (auto &[Id, Job] : m_Jobs) {
@@ -325,11 +340,11 @@
     startTasks(Now, *Job);
 }
 
-bool JobScheduler::startTasks(TimePoint Now, ActiveJob &Job) {
+void JobScheduler::startTasks(TimePoint Now, ActiveJob &Job) {
   for (std::size_t I = 0; I < Job.m_Tasks.size(); ++I)
-    if (Job.m_Tasks[I].m_State == TaskState::Waiting && !startTask(Now, Job, I))
-      return false;
-  return true;
+    if (Job.m_Tasks[I].m_State == TaskState::Waiting &&
+        !startTask(Now, Job, I) && !mustRunAlone(Job.m_Tasks[I]))
+      return;
 }
 
 std::uint32_t JobScheduler::tasksOfStepOn(const ActiveTask &Task,
@@ -354,6 +369,14 @@
   Requirements.m_TasksOnWorker = [&](const std::string &Worker) {
     return tasksOfStepOn(Task, Worker);
   };
+  Requirements.m_RunsAlone = mustRunAlone(Task);
+  if (Requirements.m_RunsAlone) {
+    if (!mayIsolate(Job.m_Request.m_Policy.m_Service))
+      return false;
+    if (hasWorkerSetAside(Job, Index))
+      Requirements.m_SetAsideWorker =
+          m_Isolations.at(Job.m_Request.m_Policy.m_Service).m_Worker;
+  }
   std::optional<WorkerChoice> Choice = m_Workers.choose(Now, Requirements);
   if (!Choice && !Task.m_AvoidedWorkers.empty()) {
     // No other worker is available: retry on a worker on which the task has
@@ -361,8 +384,11 @@
     Requirements.m_AvoidedWorkers = nullptr;
     Choice = m_Workers.choose(Now, Requirements);
   }
-  if (!Choice)
+  if (!Choice) {
+    if (Requirements.m_RunsAlone)
+      setWorkerAside(Now, Job, Index, Requirements);
     return false;
+  }
   WorkerRecord &Worker = *Choice->m_Worker;
   Worker.m_Free -= Step.m_TaskResources;
   ++Worker.m_Running;
@@ -383,6 +409,8 @@
   Added.m_ExpectedMs = Choice->m_ExpectedMs;
   Added.m_Queue = Job.m_Request.m_Policy.m_Queue;
   Added.m_Started = Now;
+  if (Requirements.m_RunsAlone)
+    beginIsolatedRun(Job, Index, Worker);
   QueueModel &Model = m_Queues[Added.m_Queue];
   Model.m_MeanEstimateMs +=
       std::max(m_Parameters.m_RunTimeWeight,
@@ -399,6 +427,7 @@
   Order.m_Candidates = Choice->m_Candidates;
   Order.m_WaitedMs = millisecondsBetween(Job.m_Submitted, Now);
   Order.m_Stored = Job.m_Stored;
+  Order.m_RunsAlone = Requirements.m_RunsAlone;
   m_Effects.emplace_back(std::move(Order));
   return true;
 }
@@ -415,7 +444,9 @@
     if (!Job->m_FirstStart)
       Consider(Job->m_WaitUntil);
   }
-  if (waitingTasks() > 0)
+  if (std::any_of(m_Jobs.begin(), m_Jobs.end(), [](const auto &Entry) {
+        return Entry.second->m_Waiting > 0;
+      }))
     for (const auto &[Id, Worker] : m_Workers.all()) {
       Consider(Worker.m_EjectedUntil);
       Consider(Worker.m_PausedUntil);
@@ -433,8 +464,16 @@
 
 std::size_t JobScheduler::waitingTasks() const {
   std::size_t Total = 0;
-  for (const auto &[Id, Job] : m_Jobs)
+  for (const auto &[Id, Job] : m_Jobs) {
     Total += Job->m_Waiting;
+    if (!Job->m_HasLostTasks)
+      continue;
+    auto IsForIdleWorker = [](const ActiveTask &Task) {
+      return Task.m_State == TaskState::Waiting && mustRunAlone(Task);
+    };
+    Total -= static_cast<std::size_t>(std::count_if(
+        Job->m_Tasks.begin(), Job->m_Tasks.end(), IsForIdleWorker));
+  }
   return Total;
 }
 
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -98,7 +98,8 @@
 
 void StoredRuns::acknowledge(const Run &Ended,
                              const StoredEndConfirmed &Msg) const {
-  m_Effects.m_Acknowledge(Ended.m_Worker, Msg);
+  if (!Ended.m_Worker.empty())
+    m_Effects.m_Acknowledge(Ended.m_Worker, Msg);
   for (const std::string &Worker : Ended.m_OtherWorkers)
     m_Effects.m_Acknowledge(Worker, Msg);
 }
@@ -145,8 +146,12 @@
   Report.m_EndKind = Ended.m_EndKind;
   Report.m_Reason = Ended.m_Reason;
   Report.m_Worker = Ended.m_Worker;
-  if (Found != m_Runs.end() && mustBeStored(Ended.m_EndKind)) {
-    Found->second.m_Worker = Ended.m_Worker;
+  Report.m_LostWith = Ended.m_LostWith;
+  bool IsLost = !Ended.m_LostWith.m_Worker.empty();
+  if (Found != m_Runs.end() && (mustBeStored(Ended.m_EndKind) || IsLost)) {
+    // A lost worker has no list from which the end could be removed.
+    if (!IsLost)
+      Found->second.m_Worker = Ended.m_Worker;
     Found->second.m_End = Report;
   } else if (Found != m_Runs.end()) {
     m_Runs.erase(Found);
--- a/Tests/Jobs/LedgerFixture.h
+++ b/Tests/Jobs/LedgerFixture.h
@@ -70,8 +70,21 @@
   }
   void endRun(const StoredTask &Task, StoredRunEnd Outcome,
               const std::string &Owner = "owner") {
-    m_Ledger->runEndReported(m_Now, m_WallMs, Owner, "worker", Task.task(),
-                             Task.m_Number, Outcome);
+    m_Ledger->runEndReported(m_Now, m_WallMs,
+                             {Owner, "worker", Task.task(), Task.m_Number,
+                              Outcome, WorkerIncarnation()});
+    collect();
+  }
+  /// Ends a run because its worker became unreachable or restarted.
+  void loseRun(const StoredTask &Task, const WorkerIncarnation &On,
+               const std::string &Owner = "owner") {
+    m_Ledger->runEndReported(m_Now, m_WallMs,
+                             {Owner, On.m_Worker, Task.task(), Task.m_Number,
+                              StoredRunEnd::Over, On});
+    collect();
+  }
+  void seeWorker(const WorkerIncarnation &Seen) {
+    m_Ledger->workerSeen(m_Now, m_WallMs, Seen);
     collect();
   }
   void advanceTime(double Ms) {
@@ -104,6 +117,10 @@
     m_FinishedJobs[Event.m_Job] = Event.m_State;
   }
 
+  void record(const LedgerCrashConfirmed &) {}
+  void record(const LedgerTaskHeld &Event) { m_HeldTasks.push_back(Event); }
+  void record(const LedgerTaskGivenUp &Event) { m_GivenUp.push_back(Event); }
+
   bool isAcknowledged(const StoredTask &Task) const {
     return std::any_of(m_AcknowledgedEnds.begin(), m_AcknowledgedEnds.end(),
                        [&](const auto &End) {
@@ -129,6 +146,8 @@
   std::vector<LedgerStopRun> m_StoppedRuns;
   std::vector<LedgerEndStored> m_AcknowledgedEnds;
   std::map<std::string, StoredJobState> m_FinishedJobs;
+  std::vector<LedgerTaskHeld> m_HeldTasks;
+  std::vector<LedgerTaskGivenUp> m_GivenUp;
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNHUB_JOBS_JOB_H
 #define AUBURNHUB_JOBS_JOB_H
 
+#include "auburnhub/Policy/LossLimits.h"
+
 #include "absl/status/status.h"
 
 #include <cstdint>
@@ -156,11 +158,38 @@
   Failed,  ///< The task or its worker failed.
   Stopped, ///< By an order of the owner.
   Lapsed,  ///< Its lease expired, or its worker no longer runs it.
+  Lost,    ///< Its worker became unreachable or restarted while it ran.
 };
 
-/// Returns "done", "failed", "stopped" or "lapsed".
+/// Returns "done", "failed", "stopped", "lapsed" or "lost".
 std::string_view runEndName(RunEnd End);
 
+/// One life of a worker, from its start to its crash or exit. A worker may
+/// return under the same id, or another one may start at its address.
+struct WorkerIncarnation {
+  std::string m_Worker; ///< Empty: none.
+  std::string m_Address;
+  /// When it started, in milliseconds since 1970; 0 if unknown.
+  std::int64_t m_StartMs = 0;
+  bool operator==(const WorkerIncarnation &) const = default;
+
+  /// Returns whether this incarnation shows that the earlier one has ended.
+  bool isSuccessorOf(const WorkerIncarnation &Earlier) const {
+    return m_Address == Earlier.m_Address && Earlier.m_StartMs > 0 &&
+           Earlier.m_StartMs < m_StartMs;
+  }
+
+  template <typename Visitor> void fields(Visitor &V) {
+    V("worker", m_Worker);
+    V("address", m_Address);
+    V("start", m_StartMs);
+  }
+};
+
+/// Limits of the runs that a task may lose together with its worker. The task
+/// is also given up without a known crash, because a worker may never return.
+inline constexpr LossLimits TaskLossLimits{.m_MaxLosses = 5, .m_MaxCrashes = 2};
+
 /// A worker as described by its registration.
 struct WorkerSpec {
   std::string m_Id;
@@ -170,9 +199,15 @@
   Resources m_Capacity;
   std::vector<std::string> m_Labels;
   bool m_Leaving = false; ///< Draining; gets no new runs.
+  /// When this incarnation of the worker started, in milliseconds since 1970; 0
+  /// if unknown.
+  std::int64_t m_IncarnationStartMs = 0;
   bool operator==(const WorkerSpec &) const = default;
 
   bool hasLabel(std::string_view Label) const;
+  WorkerIncarnation incarnation() const {
+    return {m_Id, m_Address, m_IncarnationStartMs};
+  }
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -17,6 +17,10 @@
   /// capacity here. Spans several updates of the owners' load, after which
   /// another owner may have free capacity.
   double m_StoredWaitMs = 200;
+  /// The same for a stored task that runs alone. It waits for such tasks before
+  /// it rather than for free capacity, which other owners would not offer
+  /// either.
+  double m_IsolatedWaitMs = 5000;
   /// Nothing is started if the workers' descriptions are older than this. Above
   /// the time between two reads of the log, also if both fail.
   double m_MaxWorkerAgeMs = 3000;
@@ -57,6 +61,9 @@
   /// Factor on the expected time of a run on a worker that is not near its
   /// data.
   double m_RemoteDataFactor = 3;
+  /// Maximum share of an owner's workers of a service, but at least one worker,
+  /// on which tasks run alone after they were lost with a worker.
+  double m_MaxIsolatedShare = 0.25;
   /// A worker that refused a run, for example for lack of free capacity, gets
   /// no new runs for this time.
   double m_RefusalPauseMs = 25;
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -52,6 +52,9 @@
   /// Pause before the second probe of an unresponsive worker.
   double m_ProbeMs = 100;
   double m_MaxProbeMs = 800;
+  /// Time within which an unanswered order may be executed. An idle worker is
+  /// asked for its runs meanwhile, each m_MaxProbeMs.
+  double m_MaxOrderDelayMs = 15000;
 };
 
 /// Mean time until workers answer a start or stop order. Shared by the sessions
@@ -75,7 +78,9 @@
   std::function<void(RunId)> m_Accepted;
   /// The run has not started and never will.
   std::function<void(RunId, RefusalReason)> m_Refused;
-  std::function<void(RunId, RunEnd)> m_Ended;
+  /// LostWith names the worker if the run was lost, and is empty otherwise. Its
+  /// start is 0 if the worker has not accepted the run.
+  std::function<void(RunId, RunEnd, const WorkerIncarnation &LostWith)> m_Ended;
   std::function<void(RunId, double Percent)> m_Progress;
   /// The worker lists the end of a run that this session did not order. Returns
   /// whether the worker must keep the end until WorkerSession::acknowledge().
@@ -92,9 +97,12 @@
 /// listed its end, or does not list the run in a complete answer requested
 /// after the run was accepted or its stop was confirmed, or every lease that
 /// the worker may hold has expired. The same holds when the worker has
-/// restarted, because the new incarnation may have started the run. Runs that
-/// the owner did not order are stopped. The states are defined by the chart
-/// worker-session.yaml.
+/// restarted, because the new incarnation may have started the run. Orders to a
+/// new incarnation have a higher token, so that it rejects delayed orders that
+/// were sent to an earlier one. A run that ends because of an expired lease or
+/// a restart is lost, accepted or not, because the task may have crashed the
+/// worker; on a leaving worker it has lapsed. Runs that the owner did not order
+/// are stopped. The states are defined by the chart worker-session.yaml.
 ///
 /// Orders are idempotent for a worker, so an unanswered one is sent again at
 /// once, with the same run number, unless the path to the worker is slow. Only
@@ -126,7 +134,8 @@
   /// Allows the worker to discard the end of this run.
   void acknowledge(const TaskRef &Task, std::uint32_t Number);
   /// Acknowledges the end only after the worker's lease has expired. Until then
-  /// m_Reachable reports false, so that no runs are started on the worker.
+  /// m_Reachable reports false, so that no runs are started on the worker. Ends
+  /// that the worker does not keep are ignored.
   void acknowledgeAfterLease(const TaskRef &Task, std::uint32_t Number);
 
   /// Updates the address and the labels.
@@ -164,6 +173,8 @@
     bool m_StopPending = false; ///< A stop order is not answered yet.
     std::optional<TimePoint> m_StopConfirmed;
     TimePoint m_ConfirmedAt; ///< When the run was accepted or first listed.
+    /// The worker as known when the run was last ordered or listed.
+    WorkerIncarnation m_On;
   };
 
   /// Returns the end of a lease granted now, on the worker's clock.
@@ -172,6 +183,8 @@
   void updateWorkerClock(std::int64_t ClockMs);
   /// Returns whether the worker has left an order unanswered recently.
   bool isDoubtful() const;
+  /// Returns whether a start order may still be executed unnoticed.
+  bool mayHaveDelayedStarts() const;
   /// Returns whether answers take so long that repeated orders and shorter
   /// waits would only add load.
   bool isPathSlow() const;
@@ -190,6 +203,7 @@
                 std::function<void(const OrderReply &)> Answered);
   void sendRunStop(RunId Id);
   void renew();
+  void renewAfter(double PauseMs);
   void onRenewAnswer(TimePoint SentAt, const RenewReply &Reply);
   void onUnresponsive();
   void scheduleProbe();
@@ -198,9 +212,26 @@
   std::uint64_t lastAcknowledgeableEnd() const;
   void acknowledgeAfterExpiry(TimePoint Now);
   void processRunning(TimePoint SentAt, const RenewReply &Reply);
+  /// Forgets what the earlier incarnation of the worker has stated, and raises
+  /// the token: the new one has seen no token and no stopped runs, and could
+  /// execute delayed orders of before.
+  void onRestarted(const RenewReply &Reply);
+  /// Returns whether a start order of the run may still be executed although a
+  /// list that was requested at SentAt does not have the run.
+  bool mayStartLater(const SessionRun &Run, TimePoint SentAt) const;
+  /// Returns the answer to an order that was sent with Token. The worker has
+  /// not executed it if this session has raised the token since.
+  OrderAnswer answerFor(FencingToken Token, OrderAnswer Answer) const;
   /// Stops listed runs that this session did not order. Returns whether such
   /// runs were listed.
   bool stopStrayRuns(const RenewReply &Reply);
+  WorkerIncarnation incarnation() const {
+    return {m_Spec.m_Id, m_Spec.m_Address, m_IncarnationStartMs};
+  }
+  /// Returns how runs end that have ended together with the worker.
+  RunEnd lossKind() const {
+    return m_Spec.m_Leaving ? RunEnd::Lapsed : RunEnd::Lost;
+  }
   void endRun(RunId Id, RunEnd End);
   void endAll(RunEnd End);
   void onFenced();
@@ -213,7 +244,8 @@
   const WorkerSessionSettings &m_Settings;
   AnswerTime &m_Answers;
   WorkerSpec m_Spec;
-  const FencingToken m_Token;
+  FencingToken m_Token; ///< Raised when the worker has restarted.
+  TimePoint m_TokenRaisedAt;
   WorkerSessionEvents m_Events;
   Log m_Log{"worker"};
   StateChart::StateId m_Phase;
@@ -224,8 +256,8 @@
   TimePoint m_LeaseEnd; ///< Latest end of all leases requested so far.
   std::int64_t m_IncarnationStartMs = 0;
   std::uint64_t m_LastEndSeen = 0; ///< Highest sequence number listed.
-  /// Ends that the worker must keep, by sequence number.
-  std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>> m_KeptEnds;
+  using KeptEnds = std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>>;
+  KeptEnds m_KeptEnds; ///< Ends that the worker must keep, by sequence number.
   std::uint64_t m_LastEndSent = 0; ///< Last acknowledged sequence number.
   /// The ends of m_KeptEnds to be acknowledged once the lease has expired.
   std::vector<std::pair<TaskRef, std::uint32_t>> m_EndsAfterLease;
@@ -236,6 +268,7 @@
   TimePoint m_LastAnswer;
   TimePoint m_LastListAt; ///< Last answer that named the incarnation.
   std::optional<TimePoint> m_UnansweredAt; ///< Of the last unanswered order.
+  std::optional<TimePoint> m_UnansweredStartAt; ///< The same of start orders.
   EventLoop::Timer m_Probe;
   /// Callbacks of orders hold this weakly; they do nothing once the session is
   /// destroyed.
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -86,6 +86,13 @@
              m_Settings.m_DoubtMs;
 }
 
+template <WorkerTransport Transport>
+bool WorkerSession<Transport>::mayHaveDelayedStarts() const {
+  return m_UnansweredStartAt &&
+         millisecondsBetween(*m_UnansweredStartAt, EventLoop::now()) <
+             m_Settings.m_MaxOrderDelayMs;
+}
+
 template <WorkerTransport Transport>
 bool WorkerSession<Transport>::isPathSlow() const {
   return m_Settings.m_RetryAnswerFactor * m_Answers.meanMs() >
@@ -141,18 +148,20 @@
   SessionRun &Run = m_Runs.at(Id);
   if (Run.m_StartAttempts++ == 0)
     Run.m_FirstSentAt = Now;
+  Run.m_On = incarnation();
   extendLeaseEnd(Now);
   StartOrder Order{Run.m_Task, Run.m_Number, Run.m_Spec, m_Token,
                    leaseUntil(Now)};
   std::weak_ptr<WorkerSession *> Weak = m_Self;
   m_Orders.start(m_Spec, Order, retryDelay(Run.m_StartAttempts),
-                 [Weak, Id, Now](const OrderReply &Reply) {
+                 [Weak, Id, Now, Token = m_Token](OrderReply Reply) {
                    auto Self = Weak.lock();
                    if (!Self)
                      return;
                    if (Reply.m_WorkerClockMs)
                      (*Self)->m_Answers.add(
                          millisecondsBetween(Now, EventLoop::now()));
+                   Reply.m_Answer = (*Self)->answerFor(Token, Reply.m_Answer);
                    (*Self)->onStartAnswer(Id, Reply);
                  });
 }
@@ -223,6 +232,7 @@
     return;
   case OrderAnswer::NoAnswer:
     m_UnansweredAt = EventLoop::now();
+    m_UnansweredStartAt = m_UnansweredAt;
     if (isStartRepeatable(Run)) {
       sendStart(Id);
       return;
@@ -243,8 +253,8 @@
   StopOrder Order{Task, Number, m_Token};
   std::weak_ptr<WorkerSession *> Weak = m_Self;
   m_Orders.stop(m_Spec, Order, retryDelay(/*Attempt=*/2),
-                [Weak, SentAt = EventLoop::now(),
-                 Answered = std::move(Answered)](const OrderReply &Reply) {
+                [Weak, SentAt = EventLoop::now(), Token = m_Token,
+                 Answered = std::move(Answered)](OrderReply Reply) {
                   auto Self = Weak.lock();
                   if (!Self)
                     return;
@@ -253,6 +263,7 @@
                     (*Self)->m_Answers.add(
                         millisecondsBetween(SentAt, EventLoop::now()));
                   }
+                  Reply.m_Answer = (*Self)->answerFor(Token, Reply.m_Answer);
                   Answered(Reply);
                 });
 }
@@ -353,19 +364,17 @@
   updateWorkerClock(Reply.m_WorkerClockMs);
   m_LastListAt = m_ClockAt;
   m_ProbePauseMs = 0;
-  if (m_IncarnationStartMs != Reply.m_IncarnationStartMs) {
-    // The runs are not ended here: the new incarnation may have started some of
-    // them. Those that it does not list have ended with the earlier one.
-    m_LastEndSeen = 0;
-    m_KeptEnds.clear();
-    m_EndsAfterLease.clear();
-    m_IncarnationStartMs = Reply.m_IncarnationStartMs;
-  }
+  std::int64_t LastStartMs =
+      std::exchange(m_IncarnationStartMs, Reply.m_IncarnationStartMs);
+  bool HasRestarted =
+      LastStartMs != 0 && LastStartMs != Reply.m_IncarnationStartMs;
+  if (HasRestarted)
+    onRestarted(Reply);
   std::weak_ptr<WorkerSession *> Weak = m_Self;
   processEnds(Reply);
   processRunning(SentAt, Reply);
   bool HasStrayRuns = stopStrayRuns(Reply);
-  if (!HasStrayRuns || m_Phase == m_Serving)
+  if ((!HasStrayRuns && !HasRestarted) || m_Phase == m_Serving)
     fireEvent("answered");
   if (Weak.expired() || m_Closed)
     return;
@@ -375,12 +384,18 @@
   acknowledgeAfterExpiry(EventLoop::now());
   if (m_Renewing)
     return;
-  if (!m_KeptEnds.empty())
-    m_Probe = m_Loop.once(
-        EventLoop::Duration(static_cast<int>(m_Settings.m_KeptEndPauseMs)),
-        [this] { renew(); });
-  else if (!m_Runs.empty() || lastAcknowledgeableEnd() > m_LastEndSent)
+  bool IsBusy = !m_Runs.empty() || lastAcknowledgeableEnd() > m_LastEndSent;
+  if (HasRestarted || (m_KeptEnds.empty() && IsBusy))
     renew();
+  else if (!m_KeptEnds.empty() || mayHaveDelayedStarts())
+    renewAfter(m_KeptEnds.empty() ? m_Settings.m_MaxProbeMs
+                                  : m_Settings.m_KeptEndPauseMs);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::renewAfter(double PauseMs) {
+  m_Probe = m_Loop.once(EventLoop::Duration(static_cast<int>(PauseMs)),
+                        [this] { renew(); });
 }
 
 template <WorkerTransport Transport>
@@ -402,6 +417,10 @@
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::acknowledgeAfterLease(const TaskRef &Task,
                                                      std::uint32_t Number) {
+  std::pair Run(Task, Number);
+  if (std::ranges::find(m_KeptEnds, Run, &KeptEnds::value_type::second) ==
+      m_KeptEnds.end())
+    return;
   m_Log.info("end_kept_until_lease_ends", {{"worker", m_Spec.m_Id},
                                            {"task", Task.str()},
                                            {"run", Number},
@@ -448,25 +467,65 @@
       continue;
     Listed.push_back(Id);
     SessionRun &Run = m_Runs.at(Id);
+    if (Run.m_On.m_StartMs != m_IncarnationStartMs)
+      Run.m_On = incarnation();
     if (!Run.m_StopRequested)
       markAccepted(Id);
     m_Events.m_Progress(Id, Running.m_Percent);
   }
-  std::vector<RunId> EndedRuns;
+  std::vector<std::pair<RunId, RunEnd>> EndedRuns;
   for (const auto &[Id, Run] : m_Runs) {
     if (std::find(Listed.begin(), Listed.end(), Id) != Listed.end())
       continue;
     // An unlisted run has ended only if the list is complete and was requested
     // after the run was accepted or after its stop was confirmed.
-    bool IsMissing =
-        !Reply.m_HasMoreEnds && Run.m_Accepted && Run.m_ConfirmedAt < SentAt;
+    bool IsMissing = !Reply.m_HasMoreEnds && Run.m_Accepted &&
+                     Run.m_ConfirmedAt < SentAt && !mayStartLater(Run, SentAt);
     bool IsStopped = !Reply.m_HasMoreEnds && Run.m_StopConfirmed &&
                      *Run.m_StopConfirmed < SentAt;
     if (IsMissing || IsStopped)
-      EndedRuns.push_back(Id);
+      EndedRuns.emplace_back(Id, Run.m_On.m_StartMs == m_IncarnationStartMs
+                                     ? RunEnd::Lapsed
+                                     : lossKind());
   }
-  for (RunId Id : EndedRuns)
-    endRun(Id, RunEnd::Lapsed);
+  for (auto [Id, End] : EndedRuns)
+    endRun(Id, End);
+}
+
+template <WorkerTransport Transport>
+void WorkerSession<Transport>::onRestarted(const RenewReply &Reply) {
+  m_Log.info("worker_restarted",
+             {{"worker", m_Spec.m_Id},
+              {"incarnation_start_ms", Reply.m_IncarnationStartMs},
+              {"clock_ms", Reply.m_WorkerClockMs},
+              {"token", m_Token + 1},
+              {"kept_ends", m_KeptEnds.size()},
+              {"runs", m_Runs.size()}});
+  // The runs are not ended here: the new incarnation may have started some of
+  // them. Those that it does not list have ended with the earlier one.
+  m_LastEndSeen = 0;
+  m_KeptEnds.clear();
+  if (!std::exchange(m_EndsAfterLease, {}).empty())
+    m_Events.m_Reachable(reachable());
+  for (auto &[Id, Run] : m_Runs)
+    Run.m_StopConfirmed.reset();
+  ++m_Token;
+  m_TokenRaisedAt = EventLoop::now();
+  // Delayed orders may have extended the lease of the new incarnation.
+  extendLeaseEnd(m_TokenRaisedAt);
+}
+
+template <WorkerTransport Transport>
+bool WorkerSession<Transport>::mayStartLater(const SessionRun &Run,
+                                             TimePoint SentAt) const {
+  return Run.m_StartAttempts > 1 && SentAt < m_TokenRaisedAt;
+}
+
+template <WorkerTransport Transport>
+OrderAnswer WorkerSession<Transport>::answerFor(FencingToken Token,
+                                                OrderAnswer Answer) const {
+  bool IsOwnFence = Answer == OrderAnswer::Fenced && Token < m_Token;
+  return IsOwnFence ? OrderAnswer::NoAnswer : Answer;
 }
 
 template <WorkerTransport Transport>
@@ -496,7 +555,7 @@
   if (Weak.expired() || m_Closed)
     return;
   if (Now >= m_LeaseEnd)
-    endAll(RunEnd::Lapsed);
+    endAll(lossKind());
   scheduleProbe();
 }
 
@@ -504,16 +563,20 @@
 void WorkerSession<Transport>::scheduleProbe() {
   if (m_Renewing)
     return;
-  m_Probe = m_Loop.once(EventLoop::Duration(static_cast<int>(m_ProbePauseMs)),
-                        [this] { renew(); });
+  renewAfter(m_ProbePauseMs);
   m_ProbePauseMs = std::clamp(2 * m_ProbePauseMs, m_Settings.m_ProbeMs,
                               m_Settings.m_MaxProbeMs);
 }
 
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::endRun(RunId Id, RunEnd End) {
-  m_Runs.erase(Id);
-  m_Events.m_Ended(Id, End);
+  SessionRun Ended = std::move(m_Runs.extract(Id).mapped());
+  WorkerIncarnation LostWith =
+      End == RunEnd::Lost ? std::move(Ended.m_On) : WorkerIncarnation();
+  // The worker may have crashed before the order arrived.
+  if (!Ended.m_Accepted)
+    LostWith.m_StartMs = 0;
+  m_Events.m_Ended(Id, End, LostWith);
 }
 
 template <WorkerTransport Transport>
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,6 +54,8 @@
   /// immediately before each start, because the process may have been paused
   /// since the last event.
   std::function<bool()> m_MayStart;
+  /// Returns the registered workers.
+  std::function<std::vector<WorkerIncarnation>()> m_Workers;
 };
 
 /// Keeps one partition of the stored jobs under one epoch: recovers it from the
@@ -74,6 +77,8 @@
   void onRuns(const std::string &From, const LedgerRuns &Msg);
   /// An owner is unreachable; its runs may still be active.
   void ownerLost(const std::string &Owner);
+  /// A worker has registered, or its registration has changed.
+  void workerSeen(const WorkerIncarnation &Seen);
   /// Processes expired timeouts, starts tasks that are ready, and appends
   /// records that are due.
   void advance();
@@ -123,6 +128,8 @@
   /// a larger batch, starts m_LingerTimer.
   bool isAppendDue(TimePoint Now);
   void assignTasks(TimePoint Now);
+  /// Passes the registered workers to the ledger, or only those at an address.
+  void passRegisteredWorkers(std::optional<std::string_view> Address);
   void countPending(TimePoint Now);
   /// Asks owners for runs whose end they have not reported: the order or the
   /// report may be lost.
@@ -132,6 +139,9 @@
   void apply(const LedgerStopRun &Effect);
   void apply(const LedgerEndStored &Effect);
   void apply(const LedgerJobFinished &Effect);
+  void apply(const LedgerCrashConfirmed &Effect);
+  void apply(const LedgerTaskHeld &Effect);
+  void apply(const LedgerTaskGivenUp &Effect);
   void answerState(const Caller &To, const std::string &Job);
   void holdQuery(const Caller &To, const std::string &Job);
   void answerDueQueries(TimePoint Now);
@@ -178,5 +188,6 @@
 } // namespace auburnhub
 
 #include "auburnhub/Node/LedgerPartitionImpl.h"
+#include "auburnhub/Node/LedgerPartitionLossesImpl.h"
 
 #endif
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -103,9 +103,14 @@
   void execute(const StoredTaskEnded &Ended) {
     m_Events.m_StoredTaskEnded(Ended);
   }
+  void execute(const WorkerSetAside &SetAside) {
+    m_Log.info("worker_set_aside", {{"worker", SetAside.m_Worker},
+                                    {"task", SetAside.m_Task.str()},
+                                    {"runs", SetAside.m_Runs}});
+  }
   void armTimer();
   void dropIdleWorkers();
-  void logRunEnd(RunId Run, RunEnd End);
+  void logRunEnd(RunId Run, RunEnd End, const WorkerIncarnation &LostWith);
 
   struct RunRecord {
     std::string m_Worker;
@@ -124,6 +129,9 @@
   Log m_Log{"jobs"};
   JobScheduler m_Scheduler;
   std::map<std::string, OwnedWorker> m_OwnedWorkers;
+  /// Lowest token of the next sessions by shard name: above those of dropped
+  /// workers, which may return and would execute delayed orders of before.
+  std::map<std::string, FencingToken> m_MinTokens;
   std::map<RunId, RunRecord> m_Runs;
   bool m_EffectsPosted = false;
   EventLoop::Timer m_Timer;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -68,9 +68,11 @@
   OwnedWorker &Added = m_OwnedWorkers[Id];
   Added.m_Assignment = Assignment;
   m_Scheduler.putWorker(EventLoop::now(), Assignment.m_Spec);
+  FencingToken Token =
+      std::max(Assignment.m_Token, m_MinTokens[Assignment.m_Shard.str()]);
   Added.m_Session = std::make_unique<Session>(
       m_Loop, m_Orders, m_Chart, m_Settings, m_Answers, Assignment.m_Spec,
-      Assignment.m_Token, sessionEvents(Id, Assignment.m_Shard));
+      Token, sessionEvents(Id, Assignment.m_Shard));
   Added.m_Session->begin();
 }
 
@@ -99,9 +101,10 @@
     m_Scheduler.runRefused(EventLoop::now(), Run, Reason);
     scheduleEffects();
   };
-  Events.m_Ended = [this](RunId Run, RunEnd End) {
-    logRunEnd(Run, End);
-    m_Scheduler.runEnded(EventLoop::now(), Run, End);
+  Events.m_Ended = [this](RunId Run, RunEnd End,
+                          const WorkerIncarnation &LostWith) {
+    logRunEnd(Run, End, LostWith);
+    m_Scheduler.runEnded(EventLoop::now(), Run, End, LostWith);
     scheduleEffects();
   };
   Events.m_Progress = [this](RunId Run, double Percent) {
@@ -120,7 +123,8 @@
 }
 
 template <WorkerTransport Transport>
-void ShardHost<Transport>::logRunEnd(RunId Run, RunEnd End) {
+void ShardHost<Transport>::logRunEnd(RunId Run, RunEnd End,
+                                     const WorkerIncarnation &LostWith) {
   auto Found = m_Runs.find(Run);
   if (Found == m_Runs.end())
     return;
@@ -135,7 +139,8 @@
               {"how", runEndName(End)},
               {"took_ms", std::round(TookMs)},
               {"expected_ms", std::round(Found->second.m_ExpectedMs)},
-              {"last_percent", Found->second.m_LastPercent}});
+              {"last_percent", Found->second.m_LastPercent},
+              {"incarnation", LostWith.m_StartMs}});
   m_Runs.erase(Found);
 }
 
@@ -158,6 +163,9 @@
     m_Runs.erase(Run);
     m_Scheduler.runAbandoned(EventLoop::now(), Run);
   }
+  FencingToken &MinToken =
+      m_MinTokens[Found->second.m_Assignment.m_Shard.str()];
+  MinToken = std::max(MinToken, Found->second.m_Session->token() + 1);
   Found->second.m_Session->abandon();
   m_OwnedWorkers.erase(Found);
   m_Scheduler.removeWorker(Worker);
@@ -286,6 +294,7 @@
                              {"worker", Order.m_Worker},
                              {"token", Found->second.m_Assignment.m_Token},
                              {"candidates", Order.m_Candidates},
+                             {"alone", Order.m_RunsAlone},
                              {"expected_ms", std::round(Order.m_ExpectedMs)},
                              {"waited_ms", std::round(Order.m_WaitedMs)}});
   Found->second.m_Session->start(Order.m_Run, Order.m_Task, Order.m_Number,
