Jobs: Run lost tasks alone on a quarter of the workers from the start

Cause: lost tasks that run alone waited for one another. Each further loss reset their number to one at a time, so healthy ones waited behind crashing ones.

They now use a quarter of an owner's workers, rounded up, whatever happened before; what runs alone takes nothing else along.

--- a/Source/Jobs/JobSchedulerIsolation.cpp
+++ b/Source/Jobs/JobSchedulerIsolation.cpp
@@ -55,10 +55,8 @@
         return Entry.second.m_Spec.m_Service == Service &&
                Entry.second.m_Reachable;
       }));
-  auto MaxRuns =
-      static_cast<std::size_t>(m_Parameters.m_MaxIsolatedShare * Usable);
-  return Found->second.m_Runs.size() <
-         std::min(MaxRuns, Found->second.m_MaxRuns);
+  return static_cast<double>(Found->second.m_Runs.size()) <
+         m_Parameters.m_MaxIsolatedShare * Usable;
 }
 
 JobScheduler::Isolation *JobScheduler::findIsolation(RunId Id) {
@@ -68,14 +66,6 @@
   return Found == m_Isolations.end() ? nullptr : &Found->second;
 }
 
-void JobScheduler::learnIsolation(RunId Id, RunEnd End) {
-  Isolation *Isolated = findIsolation(Id);
-  if (Isolated && End == RunEnd::Lost)
-    Isolated->m_MaxRuns = 1;
-  else if (Isolated && (End == RunEnd::Done || End == RunEnd::Failed))
-    ++Isolated->m_MaxRuns;
-}
-
 void JobScheduler::endIsolatedRun(RunId Id) {
   Isolation *Isolated = findIsolation(Id);
   if (!Isolated)
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -102,7 +102,6 @@
   ActiveRun Run = Found->second;
   if (End == RunEnd::Done)
     learnRunTime(Run, Now);
-  learnIsolation(Id, End);
   releaseRun(Id);
   auto Owner = m_Jobs.find(Run.m_Job);
   if (!Run.m_Detached && Owner != m_Jobs.end()) {
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -61,8 +61,8 @@
   /// Factor on the expected time of a run on a worker that is not near its
   /// data.
   double m_RemoteDataFactor = 3;
-  /// Maximum share of an owner's workers of a service, but at least one worker,
-  /// on which tasks run alone after they were lost with a worker.
+  /// Maximum share of an owner's workers of a service on which tasks run alone
+  /// after they were lost with a worker; rounded up.
   double m_MaxIsolatedShare = 0.25;
   /// A worker that refused a run, for example for lack of free capacity, gets
   /// no new runs for this time.
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -93,9 +93,8 @@
 /// useful; then the rest.
 ///
 /// A task that was lost with a worker may have crashed it. It runs alone on a
-/// worker: one such task of a service at a time, and one more with each that
-/// loses no worker, until one does. If no worker is idle, the one with the
-/// fewest runs is set aside.
+/// worker, and such tasks use at most a share of the workers of their service
+/// at a time. If no worker is idle, the one with the fewest runs is set aside.
 class JobScheduler {
 public:
   explicit JobScheduler(const JobParameters &Parameters);
@@ -220,7 +219,6 @@
   /// The tasks of one service that run alone.
   struct Isolation {
     std::set<RunId> m_Runs;
-    std::size_t m_MaxRuns = 1;
     std::string m_Worker; ///< Set aside for a waiting task, or empty.
     std::string m_Job;    ///< Job of that task.
     std::size_t m_Task = 0;
@@ -253,8 +251,6 @@
   /// Returns whether one more task of the service may run alone.
   bool mayIsolate(const std::string &Service) const;
   Isolation *findIsolation(RunId Id);
-  /// Adapts the number of tasks that may run alone to the end of one of them.
-  void learnIsolation(RunId Id, RunEnd End);
   void endIsolatedRun(RunId Id);
   void eraseUnusedIsolations();
   /// Releases workers whose task no longer waits or that can no longer serve
