Jobs: Give up a stored task after four lost runs instead of five

A task may be started three times more after three workers have crashed under it, but a run whose owner is lost together with the worker is not counted. Five lost runs and one of those make six starts. With four there is a margin of one.

A run that its worker has not accepted is no evidence of a crash, and did not wait for any; in a wave of crashes such runs could then use up the limit of a healthy task within seconds. From the third lost run on the task now waits after those, too. The tests expect the new limit and the wait.

--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -51,8 +51,10 @@
                                 std::uint32_t TaskIndex) const {
   std::uint32_t Losses = countLosses(Job, TaskIndex).m_Losses;
   const LostRun *Last = lastLostRun(Job, TaskIndex);
-  // No evidence can follow if the incarnation is unknown.
-  if (Losses < 2 || Last->m_HasCrashed || Last->m_On.m_StartMs == 0)
+  // If the incarnation is unknown, no evidence can follow. The wait then only
+  // keeps a wave of crashes from using up the limit of the task.
+  std::uint32_t MinLosses = Last && Last->m_On.m_StartMs == 0 ? 3 : 2;
+  if (Losses < MinLosses || Last->m_HasCrashed)
     return 0;
   return m_Parameters.m_CrashVerdictMs * std::exp2(Losses - 2);
 }
--- a/Tests/Jobs/JobLedgerLossesTest.cpp
+++ b/Tests/Jobs/JobLedgerLossesTest.cpp
@@ -69,7 +69,7 @@
   int Starts = 0;
   for (; Starts < 20 && loseNextRun(Starts); ++Starts)
     advanceTime(60000);
-  BOOST_TEST(Starts == 5);
+  BOOST_TEST(Starts == 4);
   BOOST_TEST(isInState(StoredJobState::Failed));
 }
 
@@ -187,6 +187,8 @@
   loseRun(*Task, {"w", worker(3).m_Address, 0});
   store();
   restartWorker(3);
+  BOOST_TEST(!isInState(StoredJobState::Failed));
+  advanceTime(12000);
   auto Again = start();
   BOOST_REQUIRE(Again.has_value());
   BOOST_TEST(Again->m_LostRuns == 3U);
@@ -268,7 +270,7 @@
   auto Bad = start();
   auto Other = start();
   BOOST_REQUIRE((Bad && Other));
-  for (int I = 0; I < 5; ++I) {
+  for (int I = 0; I < 4; ++I) {
     BOOST_REQUIRE(Bad.has_value());
     loseRun(*Bad, {"worker", "10.0.0.1:80", m_WallMs});
     store();
