--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -135,21 +135,6 @@
   releaseRun(Id);
 }
 
-void JobScheduler::onStoredRunEnded(TimePoint Now, ActiveJob &Job,
-                                    const std::string &Worker, RunEnd End,
-                                    const WorkerIncarnation &LostWith) {
-  WorkerRecord *Record = m_Workers.find(Worker);
-  if (End == RunEnd::Failed && Record &&
-      Job.m_Tasks.front().m_AvoidedWorkers.empty())
-    m_Workers.recordRunFailure(Now, *Record);
-  StoredRunEnd Outcome = StoredRunEnd::Over;
-  if (End == RunEnd::Done)
-    Outcome = StoredRunEnd::Done;
-  if (End == RunEnd::Failed)
-    Outcome = StoredRunEnd::Failed;
-  finishStoredTask(Job, Outcome, JobReason::None, Worker, LostWith);
-}
-
 void JobScheduler::onTaskDone(TimePoint Now, ActiveJob &Job, ActiveTask &Task) {
   Task.m_State = TaskState::Done;
   Task.m_Run = 0;
