--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -252,13 +252,14 @@
                     status=status, body=text)
         return status, text
 
-    async def warm_up(self):
+    async def warm_up(self, node=None):
         """Has a first job stored, so that all nodes share the partitions."""
+        node = node or self.nodes[0]
         body = {"spec": '{"ms":50,"cpu":1000}',
                 "steps": [{"count": 1, "cpu": 1000, "mem_mb": 64,
                            "estimated_ms": 50}]}
         for attempt in range(20):
-            status, _ = await self.call(self.nodes[0], "POST",
+            status, _ = await self.call(node, "POST",
                                         f"{0xaa00 + attempt:016x}", body)
             if status == 200:
                 await asyncio.sleep(4)
