Review: A case that cannot run says so

Cause: an error of a script itself, such as a program that is not built, ended with status 1, which means that the rule was broken.

Change: any error ends with status 2, and a script that is stopped ends its processes. Executors can be cut off.

--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -36,6 +36,7 @@
         self.host = self.port = None
         self.public = None  # the address that is registered
         self.up = False
+        self.cut_off = False  # no call gets through, in either direction
         self._begin_life()
 
     def _begin_life(self):
@@ -85,6 +86,20 @@
                 "sequence": sequence, "born": self.born}
 
     async def handle(self, request):
+        await self._fail_if_cut_off()
+        answer = await self._handle(request)
+        await self._fail_if_cut_off()
+        return answer
+
+    async def _fail_if_cut_off(self):
+        """Drops the connection after the cut, without an answer before."""
+        if not self.cut_off:
+            return
+        while self.cut_off:
+            await asyncio.sleep(0.02)
+        raise Drop
+
+    async def _handle(self, request):
         if request.path == "/health":
             return 200, b"{}"
         if request.headers.get("x-expected-instance", self.id) != self.id:
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -309,17 +310,25 @@
 
     async def main():
         system = System(folder, zones, parts)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             held = await asyncio.wait_for(scenario(system, trouble), 110)
             system.record(what="verdict", held=held)
             return 0 if held else 1
-        except (CannotRun, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Whatever goes wrong in the case itself says nothing of the rule.
             system.record(what="verdict", cannot_run=repr(error))
             return 2
         finally:
             await system.stop()
 
-    status = asyncio.run(main())
+    try:
+        status = asyncio.run(main())
+    except Exception as error:
+        print(repr(error), file=sys.stderr)
+        status = 2
     print({0: "held", 1: "broken", 2: "could not run"}[status])
     return status
 
