Node: Let no stored run outlive the confirmation of its keeper

Cause: a keeper that lost its membership told no owner, and an owner took its keeper for lost only if a link broke. An owner that the next keeper could not reach went on extending the leases of its workers, while the next keeper took the runs for ended after 4 s. Seen in the logs of the case on the code before: partitions_given_up 0.8 s after the cut, no runs_without_keeper_stopped, no run_stop, the second starts 4 s after the next keeper had opened the partition.

A keeper now lists its runs to their owners with each confirmation by the log and the moment of the confirmation on the owner's clock. No lease of a worker reaches beyond 3 s after the last confirmation of any of its stored runs, which is below both doubt periods of the ledger. The limit is in the lease that the worker holds, so it needs no message to arrive and no link to break.

--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -221,6 +221,18 @@
   setState(*Job, *TaskIndex, TaskState::Running);
 }
 
+std::map<std::string, std::vector<StoredRun>> JobLedger::runsByOwner() const {
+  std::map<std::string, std::vector<StoredRun>> Result;
+  for (const auto &[Id, Job] : m_Jobs)
+    for (std::uint32_t TaskIndex = 0; TaskIndex < Job->m_Tasks.size();
+         ++TaskIndex)
+      if (const LedgerTask &Task = Job->m_Tasks[TaskIndex];
+          Task.m_State == TaskState::Running)
+        Result[Task.m_Owner].push_back(
+            {taskRefOf(*Job, TaskIndex), Task.m_Number});
+  return Result;
+}
+
 std::set<std::string> JobLedger::ownersToQuery(TimePoint Now) const {
   TimePoint Before = addMs(Now, -m_Parameters.m_UnreportedRunMs);
   std::set<std::string> Owners;
--- a/Source/Node/PeerClock.cpp
+++ b/Source/Node/PeerClock.cpp
@@ -1,5 +1,7 @@
 #include "auburnhub/Node/PeerClock.h"
 
+#include <cmath>
+
 namespace auburnhub {
 
 void PeerClock::observe(TimePoint Now, TimePoint PeerTime) {
@@ -10,11 +12,12 @@
   m_ObservedAt = Now;
 }
 
-std::optional<TimePoint> PeerClock::reached(TimePoint Now) const {
+std::optional<TimePoint> PeerClock::reached(TimePoint At) const {
   if (!m_PeerTime)
     return std::nullopt;
-  double ElapsedMs = millisecondsBetween(m_ObservedAt, Now);
-  return addMs(*m_PeerTime, ElapsedMs * (1 - MaxDriftShare));
+  double ElapsedMs = millisecondsBetween(m_ObservedAt, At);
+  double DriftMs = std::abs(ElapsedMs) * MaxDriftShare;
+  return addMs(*m_PeerTime, ElapsedMs - DriftMs);
 }
 
 } // namespace auburnhub
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -1,15 +1,20 @@
 #include "auburnhub/Node/StoredRuns.h"
 
+#include "auburnhub/Net/EventLoop.h"
+
+#include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
 namespace auburnhub {
 namespace {
 
-/// Time that the runs of a lost keeper continue without a new keeper, in
-/// milliseconds: the time until a membership expires, plus one round of join
-/// calls of the members.
-constexpr EventLoop::Duration OrphanTimeout{1500};
+/// A run that is not confirmed any more is stopped this time before its limit,
+/// in milliseconds: more than the longest lease, so that it does not shorten
+/// the leases of other runs on its worker. It has then continued for the time
+/// until a membership expires, plus two rounds of join calls of the members.
+constexpr double StopBeforeLimitMs = 1200;
 
 StoredRunEnd toStoredRunEnd(RunEnd EndKind) {
   if (EndKind == RunEnd::Done)
@@ -30,10 +35,14 @@
     return false;
   KnownPartition.m_Epoch = Claim.m_Epoch;
   KnownPartition.m_Keeper = Keeper;
-  KnownPartition.m_OrphanTimer.reset();
   return true;
 }
 
+TimePoint StoredRuns::runLimit(TimePoint ConfirmedAt) {
+  return ConfirmedAt == TimePoint::max() ? ConfirmedAt
+                                         : addMs(ConfirmedAt, StoredRunLimitMs);
+}
+
 void StoredRuns::opened(const std::string &Keeper, const LedgerOpened &Msg) {
   if (!acceptClaim(Keeper, Msg.m_Claim))
     return;
@@ -66,19 +75,68 @@
   m_Effects.m_Send(Keeper, Refusal);
 }
 
-void StoredRuns::run(const std::string &Keeper, const RunStoredTask &Msg) {
+void StoredRuns::run(const std::string &Keeper, const RunStoredTask &Msg,
+                     TimePoint ConfirmedAt) {
   if (!acceptClaim(Keeper, Msg.m_Claim)) {
     refuse(Keeper, Msg, JobReason::None);
     return;
   }
+  TimePoint RunUntil = runLimit(ConfirmedAt);
+  if (RunUntil < addMs(EventLoop::now(), StopBeforeLimitMs)) {
+    m_Log.info("stored_task_too_old", {{"task", Msg.m_Task.task().str()},
+                                       {"run", Msg.m_Task.m_Number},
+                                       {"keeper", Keeper},
+                                       {"epoch", Msg.m_Claim.m_Epoch}});
+    refuse(Keeper, Msg, JobReason::NoOwner);
+    return;
+  }
   auto [It, Added] =
       m_Runs.try_emplace({Msg.m_Task.task(), Msg.m_Task.m_Number});
   if (!Added)
     return;
   It->second.m_PartitionId = Msg.m_Claim.m_PartitionId;
+  It->second.m_RunUntil = std::make_shared<TimePoint>(RunUntil);
   m_Effects.m_Start(Msg.m_Task);
 }
 
+void StoredRuns::confirmed(const std::string &Keeper,
+                           const StoredRunsConfirmed &Msg,
+                           TimePoint ConfirmedAt) {
+  if (!acceptClaim(Keeper, Msg.m_Claim))
+    return;
+  TimePoint RunUntil = runLimit(ConfirmedAt);
+  for (const StoredRun &Confirmed : Msg.m_Runs)
+    if (auto Found = m_Runs.find({Confirmed.m_Task, Confirmed.m_Number});
+        Found != m_Runs.end() && Found->second.m_RunUntil)
+      *Found->second.m_RunUntil = std::max(*Found->second.m_RunUntil, RunUntil);
+}
+
+std::shared_ptr<const TimePoint>
+StoredRuns::runUntil(const StoredRun &Run) const {
+  auto Found = m_Runs.find({Run.m_Task, Run.m_Number});
+  return Found == m_Runs.end() ? nullptr : Found->second.m_RunUntil;
+}
+
+void StoredRuns::stopUnconfirmed(TimePoint Now) {
+  std::vector<TaskRef> Stopped;
+  for (auto &[Key, OwnedRun] : m_Runs) {
+    if (OwnedRun.m_End || !OwnedRun.m_RunUntil || OwnedRun.m_IsStopped ||
+        *OwnedRun.m_RunUntil >= addMs(Now, StopBeforeLimitMs))
+      continue;
+    OwnedRun.m_IsStopped = true;
+    Stopped.push_back(Key.first);
+    m_Log.warning("stored_run_unconfirmed",
+                  {{"task", Key.first.str()},
+                   {"run", Key.second},
+                   {"keeper", m_Partitions[OwnedRun.m_PartitionId].m_Keeper},
+                   {"epoch", m_Partitions[OwnedRun.m_PartitionId].m_Epoch},
+                   {"limit_in_ms", std::round(millisecondsBetween(
+                                       Now, *OwnedRun.m_RunUntil))}});
+  }
+  for (const TaskRef &Task : Stopped)
+    m_Effects.m_Stop(Task);
+}
+
 void StoredRuns::stop(const std::string &Keeper, const StopStoredRun &Msg) {
   if (!acceptClaim(Keeper, Msg.m_Claim))
     return;
@@ -105,29 +163,17 @@
 }
 
 void StoredRuns::keeperLost(const std::string &Keeper) {
-  for (auto &[PartitionId, KnownPartition] : m_Partitions) {
-    if (KnownPartition.m_Keeper != Keeper)
-      continue;
-    KnownPartition.m_Keeper.clear();
-    KnownPartition.m_OrphanTimer =
-        m_Loop.once(OrphanTimeout, [this, Partition = PartitionId] {
-          stopOrphans(Partition);
-        });
-  }
-}
-
-void StoredRuns::stopOrphans(std::uint32_t PartitionId) {
-  std::vector<TaskRef> Orphans;
-  for (const auto &[Key, OwnedRun] : m_Runs)
-    if (OwnedRun.m_PartitionId == PartitionId && !OwnedRun.m_End)
-      Orphans.push_back(Key.first);
-  if (!Orphans.empty())
-    m_Log.warning("runs_without_keeper_stopped",
-                  {{"part", PartitionId},
-                   {"epoch", m_Partitions[PartitionId].m_Epoch},
-                   {"runs", Orphans.size()}});
-  for (const TaskRef &Task : Orphans)
-    m_Effects.m_Stop(Task);
+  std::set<std::uint32_t> Lost;
+  for (auto &[PartitionId, KnownPartition] : m_Partitions)
+    if (KnownPartition.m_Keeper == Keeper) {
+      KnownPartition.m_Keeper.clear();
+      Lost.insert(PartitionId);
+    }
+  // A keeper of an older version confirms nothing; its loss ends that.
+  TimePoint RunUntil = runLimit(EventLoop::now());
+  for (auto &[Key, OwnedRun] : m_Runs)
+    if (Lost.contains(OwnedRun.m_PartitionId) && OwnedRun.m_RunUntil)
+      *OwnedRun.m_RunUntil = std::min(*OwnedRun.m_RunUntil, RunUntil);
 }
 
 void StoredRuns::report(StoredTaskReport Report) {
--- a/Tests/Jobs/JobLedgerPropertyTest.cpp
+++ b/Tests/Jobs/JobLedgerPropertyTest.cpp
@@ -14,10 +14,8 @@
 
 namespace {
 
-/// Longest time in milliseconds that a run continues unobserved by its keeper:
-/// until its owner abandons it and its lease expires. Below the doubt periods
-/// of the ledger.
-constexpr double MaxUnobservedRunMs = 3000;
+/// Longest time in milliseconds that a run continues unobserved by its keeper.
+constexpr double MaxUnobservedRunMs = StoredRunLimitMs;
 
 /// Machines on which workers run, one incarnation after the other.
 constexpr int Machines = 4;
--- a/Tests/Jobs/ModelWorker.h
+++ b/Tests/Jobs/ModelWorker.h
@@ -84,9 +84,13 @@
   void finish(const TaskRef &Task) { end(Task, RunEnd::Done); }
 
   bool isRunning(const TaskRef &Task) const { return m_Running.contains(Task); }
-  /// Returns how many ends the owner has not acknowledged.
   /// Returns the highest token that it has seen.
   FencingToken token() const { return m_Token; }
+  /// Begins to count renewals, and leases in them, anew.
+  void resetCounts() { m_Renewals = m_Leases = 0; }
+  std::size_t renewals() const { return m_Renewals; }
+  std::size_t leases() const { return m_Leases; }
+  /// Returns how many ends the owner has not acknowledged.
   std::size_t keptEnds() const { return m_Ends.size(); }
 
 private:
@@ -149,6 +153,8 @@
   }
   RenewReply execute(const RenewOrder &Order) {
     RenewReply Reply;
+    ++m_Renewals;
+    m_Leases += Order.m_LeaseUntilMs ? 1 : 0;
     if (isFenced(Order.m_Token)) {
       Reply.m_Answer = OrderAnswer::Fenced;
       return Reply;
@@ -190,6 +196,8 @@
   std::map<TaskRef, std::uint32_t> m_HighestUsed;
   std::vector<ListedEnd> m_Ends;
   std::uint64_t m_LastSequence = 0;
+  std::size_t m_Renewals = 0;
+  std::size_t m_Leases = 0; ///< Renewals with a lease.
 };
 
 } // namespace auburnhub
--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -87,6 +87,9 @@
   StoredJobState m_State = StoredJobState::Queued;
   std::vector<WorkerIncarnation> m_Workers;
   std::vector<LedgerOpened> m_Questions; ///< Sent to single owners.
+  std::vector<StoredRunsConfirmed> m_Confirmations;
+  const TimePoint m_ConfirmedAt = addMs(EventLoop::now(), -200);
+  double m_OrderConfirmedAtMs = 0;
   StateChart m_Chart = *StateChart::load(
       AUBURNHUB_SOURCE_DIR "/share/auburnhub/charts/ledger-partition.yaml",
       LedgerPartition<ScriptedLog>::vocabulary());
@@ -102,6 +105,10 @@
            m_Outcome = Answer->m_Outcome;
          if (const auto *Answer = std::get_if<LedgerCallAnswer>(&Msg))
            m_State = Answer->m_State;
+         if (const auto *Confirmed = std::get_if<StoredRunsConfirmed>(&Msg))
+           m_Confirmations.push_back(*Confirmed);
+         if (const auto *Order = std::get_if<RunStoredTask>(&Msg))
+           m_OrderConfirmedAtMs = Order->m_ConfirmedAtMs;
          if (const auto *Order = std::get_if<RunStoredTask>(&Msg))
            m_LastRun = {Order->m_Task.task(), Order->m_Task.m_Number};
          m_StartedRuns += std::holds_alternative<RunStoredTask>(Msg) ? 1 : 0;
@@ -109,6 +116,10 @@
            m_Questions.push_back(*Question);
        },
        [](const StoredJobMessage &) {}, [] {}, [this] { return m_MayStart; },
+       [this] { return m_ConfirmedAt; },
+       [](const std::string &, TimePoint At) {
+         return millisecondsBetween(TimePoint(), At);
+       },
        [this] { return m_Workers; }}};
 };
 
@@ -217,6 +228,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against owners that go on with runs which their keeper has given up.
+BOOST_FIXTURE_TEST_SUITE(AnOwnerOfRuns, PartitionFixture)
+
+BOOST_AUTO_TEST_CASE(IsToldWhenTheKeeperWasConfirmed) {
+  answer(absl::OkStatus());
+  BOOST_TEST(m_OrderConfirmedAtMs ==
+             millisecondsBetween(TimePoint(), m_ConfirmedAt));
+  m_Partition.confirmRuns();
+  BOOST_REQUIRE(m_Confirmations.size() == 1U);
+  BOOST_TEST((m_Confirmations.front().m_Claim == LedgerClaim{0, 3}));
+  BOOST_TEST((m_Confirmations.front().m_Runs == std::vector{m_LastRun}));
+  BOOST_TEST(m_Confirmations.front().m_ConfirmedAtMs == m_OrderConfirmedAtMs);
+}
+
+BOOST_AUTO_TEST_CASE(IsToldNothingOfARunThatIsTakenForLost) {
+  answer(absl::OkStatus());
+  m_Partition.ownerLost("owner");
+  m_Partition.confirmRuns();
+  BOOST_TEST(m_Confirmations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsToldNothingByAPartitionThatIsClosed) {
+  answer(absl::OkStatus());
+  m_Partition.close();
+  m_Partition.confirmRuns();
+  BOOST_TEST(m_Confirmations.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ARunWhoseEndIsNotReported, PartitionFixture)
 
 BOOST_AUTO_TEST_CASE(IsAskedForAtItsOwner) {
--- a/Tests/Node/PeerClockTest.cpp
+++ b/Tests/Node/PeerClockTest.cpp
@@ -42,6 +42,11 @@
   BOOST_TEST(behindMs(1000) < 5);
 }
 
+BOOST_AUTO_TEST_CASE(IsNotOverestimatedForThePast) {
+  message(3000, 1);
+  BOOST_TEST(behindMs(1000) >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(MayRunSlowerThanTheLocalOne) {
   message(0, 0);
   BOOST_TEST(behindMs(100000) >= 50);
--- a/Tests/Node/ShardHostTest.cpp
+++ b/Tests/Node/ShardHostTest.cpp
@@ -22,7 +22,10 @@
     Events.m_JobFinished = [this](const JobFinished &Finished) {
       m_Outcomes.push_back(Finished.m_Result.m_Outcome);
     };
-    Events.m_StoredTaskEnded = [](const StoredTaskEnded &) {};
+    Events.m_StoredTaskEnded = [this](const StoredTaskEnded &Ended) {
+      m_StoredEnds.push_back(Ended.m_EndKind);
+    };
+    Events.m_StoredRunUntil = [this](const StoredRun &) { return m_RunUntil; };
     Events.m_StrayEnd = [](const std::string &, const TaskRef &, std::uint32_t,
                            RunEnd) { return false; };
     Events.m_Fenced = [](const ShardId &) {};
@@ -58,6 +61,16 @@
     m_Host->submit(Request, TimePoint::max());
   }
 
+  void submitStoredTask() {
+    StoredTask Task;
+    Task.m_Job = m_StoredTask.m_Job;
+    Task.m_Number = 1;
+    Task.m_Policy = {"certify", "tile-orders", 0, 1, 1.6, 60};
+    Task.m_Step.m_Count = 1;
+    Task.m_Step.m_TaskResources = {6000, 64, 0};
+    m_Host->submit(Task);
+  }
+
   template <typename Condition> void waitUntil(Condition IsTrue) {
     TimePoint Begin = EventLoop::now();
     while (!IsTrue()) {
@@ -75,6 +88,11 @@
   MetricsRegistry m_Metrics;
   std::optional<ShardHost<ModelWorker>> m_Host;
   std::vector<JobOutcome> m_Outcomes;
+  const TaskRef m_StoredTask{"stored", 0, 0};
+  /// Limit of the stored task's run.
+  std::shared_ptr<TimePoint> m_RunUntil =
+      std::make_shared<TimePoint>(TimePoint::max());
+  std::vector<StoredRunEnd> m_StoredEnds;
 };
 
 } // namespace
@@ -96,6 +114,30 @@
   BOOST_TEST(!m_Worker.isRunning(m_Task));
 }
 
+// Guards against leases that outlast the confirmation of a stored run's keeper.
+BOOST_AUTO_TEST_CASE(GrantsNoLeaseBeyondTheLimitOfAStoredRun) {
+  assignWorker();
+  *m_RunUntil = addMs(EventLoop::now(), 5000);
+  submitStoredTask();
+  waitUntil([this] { return m_Worker.isRunning(m_StoredTask); });
+  *m_RunUntil = addMs(EventLoop::now(), -1);
+  m_Worker.resetCounts();
+  waitUntil([this] { return m_Worker.renewals() > 2; });
+  BOOST_TEST(m_Worker.leases() == 0U);
+}
+
+// Guards against a stored run that begins late on a worker with a longer lease.
+BOOST_AUTO_TEST_CASE(StartsNoStoredRunOnAWorkerWhoseLeaseIsLonger) {
+  assignWorker();
+  submitJob(60000, 100000);
+  waitUntil([this] { return m_Worker.isRunning(m_Task); });
+  *m_RunUntil = addMs(EventLoop::now(), 5);
+  submitStoredTask();
+  waitUntil([this] { return !m_StoredEnds.empty(); });
+  BOOST_TEST((m_StoredEnds.front() == StoredRunEnd::NotRun));
+  BOOST_TEST(!m_Worker.isRunning(m_StoredTask));
+}
+
 // Guards against a job that is submitted again and waits for runs that have
 // ended already.
 BOOST_AUTO_TEST_CASE(CompletesAJobThatWasCancelledAndSubmittedAgain) {
--- a/Tests/Node/StoredRunsQueryTest.cpp
+++ b/Tests/Node/StoredRunsQueryTest.cpp
@@ -18,7 +18,7 @@
       Order.m_Task.m_Job = "a";
       Order.m_Task.m_Index = Index;
       Order.m_Task.m_Number = 1;
-      m_Runs.run("keeper", Order);
+      m_Runs.run("keeper", Order, TimePoint::max());
     }
     StoredTaskEnded Ended;
     Ended.m_Task = {"a", 0, 0};
@@ -29,10 +29,8 @@
     m_Sent.clear();
   }
 
-  EventLoop m_Loop;
   std::vector<StoredJobMessage> m_Sent;
-  StoredRuns m_Runs{m_Loop,
-                    1,
+  StoredRuns m_Runs{1,
                     {[](const StoredTask &) {}, [](const TaskRef &) {},
                      [](const std::string &, const StoredEndConfirmed &) {},
                      [this](const std::string &, const StoredJobMessage &Msg) {
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -1,5 +1,7 @@
 #include "auburnhub/Node/StoredRuns.h"
 
+#include "auburnhub/Net/EventLoop.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -18,7 +20,7 @@
     Order.m_Claim = {0, 1};
     Order.m_Task.m_Job = "a";
     Order.m_Task.m_Number = 1;
-    m_Runs.run("keeper", Order);
+    m_Runs.run("keeper", Order, EventLoop::now());
     m_Ended.m_Task = Order.m_Task.task();
     m_Ended.m_Number = 1;
     m_Ended.m_EndKind = StoredRunEnd::Over;
@@ -35,11 +37,9 @@
     return Result;
   }
 
-  EventLoop m_Loop;
   std::vector<std::pair<std::string, StoredJobMessage>> m_Sent;
   int m_Acknowledged = 0;
   StoredRuns m_Runs{
-      m_Loop,
       1,
       {[](const StoredTask &) {}, [](const TaskRef &) {},
        [this](const std::string &, const StoredEndConfirmed &) {
@@ -80,3 +80,91 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// An owner that has run a task since its keeper was confirmed.
+struct ConfirmedRunFixture {
+  ConfirmedRunFixture() { order(m_Begin); }
+
+  void order(TimePoint ConfirmedAt, std::uint32_t Number = 1) {
+    RunStoredTask Order;
+    Order.m_Claim = m_Claim;
+    Order.m_Task.m_Job = m_Run.m_Task.m_Job;
+    Order.m_Task.m_Number = Number;
+    m_Runs.run("keeper", Order, ConfirmedAt);
+  }
+  void confirm(const LedgerClaim &Claim, const std::vector<StoredRun> &Runs) {
+    m_Runs.confirmed("keeper", {Claim, 0, Runs}, m_Later);
+  }
+  bool isStoppedAt(double Ms) {
+    m_Runs.stopUnconfirmed(addMs(m_Begin, Ms));
+    return m_Stopped > 0;
+  }
+
+  const TimePoint m_Begin = EventLoop::now();
+  const TimePoint m_Later = addMs(m_Begin, 700);
+  const LedgerClaim m_Claim{0, 2};
+  const StoredRun m_Run{{"a", 0, 0}, 1};
+  int m_Started = 0;
+  int m_Stopped = 0;
+  int m_Refused = 0;
+  StoredRuns m_Runs{1,
+                    {[this](const StoredTask &) { ++m_Started; },
+                     [this](const TaskRef &) { ++m_Stopped; },
+                     [](const std::string &, const StoredEndConfirmed &) {},
+                     [this](const std::string &, const StoredJobMessage &Msg) {
+                       const auto *Report = std::get_if<StoredTaskReport>(&Msg);
+                       bool IsRefusal =
+                           Report && Report->m_EndKind == StoredRunEnd::NotRun;
+                       m_Refused += IsRefusal ? 1 : 0;
+                     }}};
+};
+
+} // namespace
+
+// Guards against runs that go on for a keeper which is no longer the keeper.
+BOOST_FIXTURE_TEST_SUITE(AStoredRunWhoseKeeperIsNotConfirmed,
+                         ConfirmedRunFixture)
+
+BOOST_AUTO_TEST_CASE(IsStoppedALeaseBeforeItsLimit) {
+  BOOST_TEST(!isStoppedAt(1500));
+  BOOST_TEST(isStoppedAt(StoredRunLimitMs - 1030));
+  BOOST_TEST((*m_Runs.runUntil(m_Run) == addMs(m_Begin, StoredRunLimitMs)));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWhenTheKeeperIsConfirmedAgain) {
+  confirm(m_Claim, {m_Run});
+  BOOST_TEST(!isStoppedAt(2200));
+  BOOST_TEST((*m_Runs.runUntil(m_Run) == addMs(m_Later, StoredRunLimitMs)));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWhenTheNextKeeperListsIt) {
+  confirm({0, 3}, {m_Run});
+  BOOST_TEST(!isStoppedAt(2200));
+}
+
+BOOST_AUTO_TEST_CASE(IsStoppedThoughTheNextKeeperIsIfItDoesNotListTheRun) {
+  confirm({0, 3}, {});
+  confirm({0, 3}, {{m_Run.m_Task, m_Run.m_Number + 1}});
+  BOOST_TEST(isStoppedAt(2200));
+}
+
+BOOST_AUTO_TEST_CASE(IsStoppedThoughAnEarlierKeeperListsIt) {
+  confirm({0, 1}, {m_Run});
+  BOOST_TEST(isStoppedAt(2200));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStarted) {
+  BOOST_TEST(m_Started == 1);
+  order(addMs(m_Begin, -StoredRunLimitMs), 2);
+  BOOST_TEST(m_Started == 1);
+  BOOST_TEST(m_Refused == 1);
+}
+
+BOOST_AUTO_TEST_CASE(HasNoLimitIfTheKeeperNeverStatesAConfirmation) {
+  order(TimePoint::max(), 2);
+  BOOST_TEST((*m_Runs.runUntil({m_Run.m_Task, 2}) == TimePoint::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Node/StrayRunEndTest.cpp
+++ b/Tests/Node/StrayRunEndTest.cpp
@@ -11,11 +11,9 @@
 
 /// An owner that has not ordered the run whose ends workers list.
 struct OwnerOfWorkers {
-  EventLoop m_Loop;
   std::multiset<std::string> m_Acknowledged; ///< Workers.
   StoredRun m_Run{{"a", 0, 0}, 1};
   StoredRuns m_Runs{
-      m_Loop,
       1,
       {[](const StoredTask &) {}, [](const TaskRef &) {},
        [this](const std::string &Worker, const StoredEndConfirmed &) {
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -31,8 +31,9 @@
   double m_RefusalPauseMs = 30;
   double m_MaxRefusalPauseMs = 1000;
   /// How long a run of unknown state is presumed alive: after a takeover of the
-  /// partition, after the loss of its owner, and after its worker has changed
-  /// to another owner.
+  /// partition and after the loss of its owner, both longer than
+  /// StoredRunLimitMs, and after its worker has changed to another owner,
+  /// longer than a lease.
   double m_TakeoverDoubtMs = 4000;
   double m_OwnerDoubtMs = 3200;
   double m_WorkerDoubtMs = 1500;
@@ -204,6 +205,8 @@
   /// the run is, or may be, the current run of its task.
   void runReported(TimePoint Now, const std::string &Owner, const TaskRef &Ref,
                    std::uint32_t Number);
+  /// Returns the runs that are presumed active, by owner.
+  std::map<std::string, std::vector<StoredRun>> runsByOwner() const;
   /// Returns the owners with runs that they have not reported for
   /// m_UnreportedRunMs.
   std::set<std::string> ownersToQuery(TimePoint Now) const;
--- a/include/auburnhub/Jobs/StoredJob.h
+++ b/include/auburnhub/Jobs/StoredJob.h
@@ -120,6 +120,22 @@
   }
 };
 
+/// Identifies one run of a task.
+struct StoredRun {
+  TaskRef m_Task;
+  std::uint32_t m_Number = 0;
+  bool operator==(const StoredRun &) const = default;
+  template <typename Visitor> void fields(Visitor &V) {
+    V("task", m_Task);
+    V("number", m_Number);
+  }
+};
+
+/// A run of a stored task has ended this time after the log last confirmed its
+/// keeper, in milliseconds, whatever has become of the keeper, the owner and
+/// the worker. The doubt periods of JobLedgerParameters are longer.
+inline constexpr double StoredRunLimitMs = 3000;
+
 /// How one run of a stored task ended.
 enum class StoredRunEnd {
   Done = 0, ///< The task succeeded.
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -40,7 +40,7 @@
 
 template <WorkerTransport Transport> void WorkerSession<Transport>::begin() {
   // Runs of an earlier owner may continue for up to one lease from now on.
-  extendLeaseEnd(EventLoop::now());
+  extendLeaseEnd(EventLoop::now(), m_Settings.m_LeaseMs);
   // They may have left starts unanswered.
   m_UnansweredStartAt = EventLoop::now();
   renew();
@@ -138,7 +138,10 @@
 }
 
 template <WorkerTransport Transport>
-void WorkerSession<Transport>::extendLeaseEnd(TimePoint Now) {
+void WorkerSession<Transport>::extendLeaseEnd(TimePoint Now, double LeaseMs) {
+  m_LeaseGrantedUntil =
+      std::max(m_LeaseGrantedUntil,
+               addMs(Now, LeaseMs * (1 + m_Settings.m_LeaseClockShare)));
   // A worker that has restarted unnoticed may grant more than it was asked for.
   m_LeaseEnd = std::max(m_LeaseEnd, addMs(Now, m_Settings.maxLeaseMs()));
 }
@@ -187,7 +190,7 @@
     });
     return;
   }
-  extendLeaseEnd(Now);
+  extendLeaseEnd(Now, LeaseMs);
   StartOrder Order{Run.m_Task, Run.m_Number, Run.m_Spec, m_Token,
                    leaseUntil(Now, LeaseMs)};
   m_Orders.start(m_Spec, Order, retryDelay(Run.m_StartAttempts),
@@ -362,7 +365,7 @@
                  m_Settings.m_RenewSlackMs, 2 * m_Settings.m_RenewSlackMs);
   if (IsServing && !m_Runs.empty() && !m_IsRetriedRenewal) {
     if (double LeaseMs = leaseMs(Now); LeaseMs > 0) {
-      extendLeaseEnd(Now);
+      extendLeaseEnd(Now, LeaseMs);
       Order.m_LeaseUntilMs = leaseUntil(Now, LeaseMs);
     }
     double WaitMs = isDoubtful() && !isPathSlow() ? m_Settings.m_DoubtfulWaitMs
@@ -558,7 +561,7 @@
     Run.m_StopConfirmed.reset();
   raiseToken();
   // Delayed orders may have extended the lease of the new incarnation.
-  extendLeaseEnd(m_TokenRaisedAt);
+  extendLeaseEnd(m_TokenRaisedAt, m_Settings.m_LeaseMs);
 }
 
 template <WorkerTransport Transport>
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -17,6 +17,7 @@
   m_Effects.m_MayStart = [this] {
     return isMembershipCurrent(EventLoop::now());
   };
+  m_Effects.m_ConfirmedAt = [this] { return m_ConfirmedAt; };
 }
 
 template <JobLog Log> void JobKeeper<Log>::activate(bool IsPublished) {
@@ -83,6 +84,8 @@
                            Entry.first) == Membership->m_PartitionIds.end();
         });
     applyMembership(*Membership);
+    for (const auto &[PartitionId, KeptPartition] : m_Partitions)
+      KeptPartition->confirmRuns();
     // This member's next join confirms that it has released the revoked
     // partitions; only then are they assigned to others. Joins again at once.
     if (HasRevoked)
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -54,6 +54,11 @@
   /// immediately before each start, because the process may have been paused
   /// since the last event.
   std::function<bool()> m_MayStart;
+  /// Returns when the log last confirmed this node as the keeper.
+  std::function<TimePoint()> m_ConfirmedAt;
+  /// Returns a local time on the clock of a node, in milliseconds; earlier
+  /// rather than later if the clock is not known exactly, and 0 if unknown.
+  std::function<double(const std::string &Node, TimePoint)> m_ClockOf;
   /// Returns the registered workers.
   std::function<std::vector<WorkerIncarnation>()> m_Workers;
 };
@@ -75,6 +80,9 @@
   void onReport(const std::string &From, const StoredTaskReport &Msg);
   /// An owner lists the runs of this partition that it has.
   void onRuns(const std::string &From, const LedgerRuns &Msg);
+  /// Tells the owners which of their runs go on; called after each confirmation
+  /// of this node as the keeper.
+  void confirmRuns();
   /// An owner is unreachable; its runs may still be active.
   void ownerLost(const std::string &Owner);
   /// A worker has registered, or its registration has changed.
@@ -128,6 +136,7 @@
   /// a larger batch, starts m_LingerTimer.
   bool isAppendDue(TimePoint Now);
   void assignTasks(TimePoint Now);
+  void confirmRuns(const std::string &Owner, std::vector<StoredRun> Runs);
   /// Passes the registered workers to the ledger, or only those at an address.
   void passRegisteredWorkers(std::optional<std::string_view> Address);
   void countPending(TimePoint Now);
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -359,6 +359,23 @@
                                      {"owner", From},
                                      {"runs", Msg.m_Runs.size()}});
   applyEffects();
+  if (!Msg.m_Runs.empty())
+    confirmRuns(From, m_Ledger.runsByOwner()[From]);
+}
+
+template <JobLog Log> void LedgerPartition<Log>::confirmRuns() {
+  if (!isServing())
+    return;
+  for (auto &[Owner, Runs] : m_Ledger.runsByOwner())
+    confirmRuns(Owner, std::move(Runs));
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::confirmRuns(const std::string &Owner,
+                                       std::vector<StoredRun> Runs) {
+  double ConfirmedAtMs = m_Effects.m_ClockOf(Owner, m_Effects.m_ConfirmedAt());
+  m_Effects.m_Send(
+      Owner, StoredRunsConfirmed{m_Claim, ConfirmedAtMs, std::move(Runs)});
 }
 
 template <JobLog Log>
@@ -382,7 +399,10 @@
                 {"age_ms", std::round(Task->m_AgeMs)}});
     m_Owners.addSentTasks(*Owner, OneTask);
     m_Ledger.taskStarted(Now, *Owner);
-    m_Effects.m_Send(*Owner, RunStoredTask{m_Claim, *std::move(Task)});
+    double ConfirmedAtMs =
+        m_Effects.m_ClockOf(*Owner, m_Effects.m_ConfirmedAt());
+    m_Effects.m_Send(*Owner,
+                     RunStoredTask{m_Claim, *std::move(Task), ConfirmedAtMs});
   }
 }
 
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -197,6 +197,7 @@
   void handleMessage(const std::string &From, const LedgerCallAnswer &Msg);
   void handleMessage(const std::string &From, const LedgerOpened &Msg);
   void handleMessage(const std::string &From, const RunStoredTask &Msg);
+  void handleMessage(const std::string &From, const StoredRunsConfirmed &Msg);
   void handleMessage(const std::string &From, const StopStoredRun &Msg);
   void handleMessage(const std::string &From, const StoredEndConfirmed &Msg);
   void handleMessage(const std::string &From, const StoredTaskReport &Msg);
@@ -223,12 +224,12 @@
   void cancelUnseenJobs(TimePoint Now);
   /// Returns the time of a stated clock; TimePoint::max() if none is stated.
   static TimePoint statedTime(double ClockMs);
-  /// Returns when a peer has seen a caller, at most now; TimePoint::max() if
-  /// the peer has not stated it.
-  static TimePoint seenAt(double ClockMs);
-  /// Returns a time that the clock of an owner has reached, in milliseconds; 0
-  /// if nothing is known of it.
-  double ownerClockMs(TimePoint Now, const std::string &Owner) const;
+  /// Returns a stated time of the past, at most now; TimePoint::max() if none
+  /// is stated.
+  static TimePoint pastTime(double ClockMs);
+  /// Returns a time that the clock of a node had reached at At, at most now, in
+  /// milliseconds; 0 if nothing is known of it.
+  double clockOf(const std::string &Name, TimePoint At) const;
   /// Returns the time by which runs of a job must have ended if its caller was
   /// last seen at SeenAt.
   TimePoint runLimit(TimePoint SeenAt) const;
--- a/include/auburnhub/Node/NodeCallersImpl.h
+++ b/include/auburnhub/Node/NodeCallersImpl.h
@@ -45,19 +45,21 @@
 }
 
 template <WorkerTransport Transport, JobLog Log>
-TimePoint Node<Transport, Log>::seenAt(double ClockMs) {
+TimePoint Node<Transport, Log>::pastTime(double ClockMs) {
   TimePoint Stated = statedTime(ClockMs);
   return Stated == TimePoint::max() ? Stated
                                     : std::min(Stated, EventLoop::now());
 }
 
 template <WorkerTransport Transport, JobLog Log>
-double Node<Transport, Log>::ownerClockMs(TimePoint Now,
-                                          const std::string &Owner) const {
-  auto Found = m_PeerClocks.find(Owner);
+double Node<Transport, Log>::clockOf(const std::string &Name,
+                                     TimePoint At) const {
+  if (Name == m_Settings.m_Name)
+    return millisecondsBetween(TimePoint(), At);
+  auto Found = m_PeerClocks.find(Name);
   if (Found == m_PeerClocks.end())
     return 0;
-  std::optional<TimePoint> Reached = Found->second.reached(Now);
+  std::optional<TimePoint> Reached = Found->second.reached(At);
   return Reached ? millisecondsBetween(TimePoint(), *Reached) : 0;
 }
 
@@ -68,20 +70,18 @@
     WaitingCalls Msg;
     Msg.m_LastCall = m_Router.lastCall();
     Msg.m_Calls = Calls;
-    if (Owner == m_Settings.m_Name) {
-      Msg.m_SeenAtMs = millisecondsBetween(TimePoint(), Now);
+    Msg.m_SeenAtMs = clockOf(Owner, Now);
+    if (Owner == m_Settings.m_Name)
       onWaitingCalls("", Msg);
-      continue;
-    }
-    Msg.m_SeenAtMs = ownerClockMs(Now, Owner);
-    m_Links.send(Owner, Msg);
+    else
+      m_Links.send(Owner, Msg);
   }
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onWaitingCalls(const std::string &From,
                                           const WaitingCalls &Msg) {
-  TimePoint SeenAt = seenAt(Msg.m_SeenAtMs);
+  TimePoint SeenAt = pastTime(Msg.m_SeenAtMs);
   if (SeenAt == TimePoint::max())
     return;
   CallerSightings::Update Update =
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -53,25 +53,27 @@
       m_Events(std::move(Events)),
       m_ShardProber(Orders, [this] { scheduleOwnershipUpdate(); }),
       m_Shards(m_Settings.m_Name, m_Settings.m_DataCentre, m_Settings.m_Weight),
-      m_Host(Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
-             m_Settings.m_Jobs, Metrics,
-             {[this](const JobFinished &Finished) { onJobFinished(Finished); },
-              [this](const StoredTaskEnded &Ended) {
-                m_StoredRuns.taskEnded(Ended);
-              },
-              [this](const std::string &Worker, const TaskRef &Task,
-                     std::uint32_t Number, RunEnd End) {
-                return m_StoredRuns.strayRunEnded(Worker, Task, Number, End);
-              },
-              [this](const ShardId &Shard) { onFenced(Shard); },
-              [this] { onHostChanged(); }}),
+      m_Host(
+          Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
+          m_Settings.m_Jobs, Metrics,
+          {[this](const JobFinished &Finished) { onJobFinished(Finished); },
+           [this](const StoredTaskEnded &Ended) {
+             m_StoredRuns.taskEnded(Ended);
+           },
+           [this](const StoredRun &Run) { return m_StoredRuns.runUntil(Run); },
+           [this](const std::string &Worker, const TaskRef &Task,
+                  std::uint32_t Number, RunEnd End) {
+             return m_StoredRuns.strayRunEnded(Worker, Task, Number, End);
+           },
+           [this](const ShardId &Shard) { onFenced(Shard); },
+           [this] { onHostChanged(); }}),
       m_Router(Loop, m_Settings.m_DataCentre, Metrics,
                {[this](const std::string &Owner, std::uint64_t Call,
                        const JobRequest &Job) { submitTo(Owner, Call, Job); },
                 [this](const std::string &Owner, std::uint64_t Call,
                        const std::string &Job) { cancelAt(Owner, Call, Job); },
                 [this](const JobRequest &Job) { return couldEverRun(Job); }}),
-      m_StoredRuns(Loop, m_Settings.m_LedgerPartitions, storedRunsEffects()),
+      m_StoredRuns(m_Settings.m_LedgerPartitions, storedRunsEffects()),
       m_LedgerCalls(Loop, m_Settings.m_LedgerPartitions, Metrics,
                     [this](const std::string &To, const LedgerCall &Msg) {
                       sendStoredJobMessage(To, Msg);
@@ -320,7 +322,7 @@
   if (Owner == m_Settings.m_Name)
     accept({"", Call}, Job, Now);
   else
-    m_Links.send(Owner, SubmitJob{Call, Job, ownerClockMs(Now, Owner)});
+    m_Links.send(Owner, SubmitJob{Call, Job, clockOf(Owner, Now)});
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -346,7 +348,7 @@
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onSubmit(const std::string &From,
                                     const SubmitJob &Msg) {
-  accept({From, Msg.m_Call}, Msg.m_Job, seenAt(Msg.m_CallerSeenAtMs));
+  accept({From, Msg.m_Call}, Msg.m_Job, pastTime(Msg.m_CallerSeenAtMs));
 }
 
 template <WorkerTransport Transport, JobLog Log>
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -276,20 +276,28 @@
   static constexpr std::string_view TypeName = "run_stored_task";
   LedgerClaim m_Claim;
   StoredTask m_Task;
+  /// When the log last confirmed the keeper, on the owner's clock; 0 if the
+  /// keeper does not say so, as older versions do.
+  double m_ConfirmedAtMs = 0;
   template <typename Visitor> void fields(Visitor &V) {
     V("claim", m_Claim);
     V("task", m_Task);
+    V("confirmed_at", m_ConfirmedAtMs);
   }
 };
 
-/// Identifies one run of a task.
-struct StoredRun {
-  TaskRef m_Task;
-  std::uint32_t m_Number = 0;
-  bool operator==(const StoredRun &) const = default;
+/// From keeper to owner, after each confirmation of the keeper by the log: the
+/// runs that the keeper expects the owner to have. Runs that are not listed
+/// end StoredRunLimitMs after the last confirmation in which they were.
+struct StoredRunsConfirmed {
+  static constexpr std::string_view TypeName = "stored_runs_confirmed";
+  LedgerClaim m_Claim;
+  double m_ConfirmedAtMs = 0; ///< On the owner's clock.
+  std::vector<StoredRun> m_Runs;
   template <typename Visitor> void fields(Visitor &V) {
-    V("task", m_Task);
-    V("number", m_Number);
+    V("claim", m_Claim);
+    V("confirmed_at", m_ConfirmedAtMs);
+    V("runs", m_Runs);
   }
 };
 
@@ -355,8 +363,8 @@
 /// Any message about stored jobs from one node to another.
 using StoredJobMessage =
     std::variant<LedgerCall, LedgerCallAnswer, LedgerOpened, RunStoredTask,
-                 StopStoredRun, StoredEndConfirmed, StoredTaskReport,
-                 LedgerRuns>;
+                 StoredRunsConfirmed, StopStoredRun, StoredEndConfirmed,
+                 StoredTaskReport, LedgerRuns>;
 
 /// Requests a document if the receiver has a version above this one.
 struct DocumentRequest {
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -39,9 +39,12 @@
     m_Log.info("worker_gone", {{"worker", Id}, {"workers", m_Workers.size()}});
   }
   reportWaitingCalls(Now);
-  // After a stall, newer lists of waiting calls may not have been read yet.
-  if (SinceLastTickMs <= nodetimes::StalledMs)
+  // After a stall, newer lists of waiting calls and confirmations of stored
+  // runs may not have been read yet.
+  if (SinceLastTickMs <= nodetimes::StalledMs) {
     cancelUnseenJobs(Now);
+    m_StoredRuns.stopUnconfirmed(Now);
+  }
   m_Documents.retryTimedOut(Now);
   updateOwnership();
   for (const std::string &Name : m_Shards.nodesToClaim())
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -22,6 +22,10 @@
       [this](const StoredJobMessage &Msg) { broadcastStoredJobMessage(Msg); },
       [this] { onLedgersChanged(); },
       {},
+      {},
+      [this](const std::string &Name, TimePoint At) {
+        return clockOf(Name, At);
+      },
       [this] { return workerIncarnations(); }};
 }
 
@@ -94,7 +98,7 @@
                                          const RunStoredTask &Msg) {
   double SinceTickMs = millisecondsBetween(m_LastTick, EventLoop::now());
   if (acceptsJobs() && SinceTickMs < nodetimes::StalledMs) {
-    m_StoredRuns.run(From, Msg);
+    m_StoredRuns.run(From, Msg, pastTime(Msg.m_ConfirmedAtMs));
     return;
   }
   // If this process was stalled, the order may be outdated and the task may
@@ -102,6 +106,12 @@
   m_StoredRuns.refuse(From, Msg, JobReason::NoOwner);
 }
 
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::handleMessage(const std::string &From,
+                                         const StoredRunsConfirmed &Msg) {
+  m_StoredRuns.confirmed(From, Msg, pastTime(Msg.m_ConfirmedAtMs));
+}
+
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::handleMessage(const std::string &From,
                                          const StopStoredRun &Msg) {
--- a/include/auburnhub/Node/PeerClock.h
+++ b/include/auburnhub/Node/PeerClock.h
@@ -14,12 +14,13 @@
   /// A message that was sent at PeerTime on the peer's clock has arrived.
   void observe(TimePoint Now, TimePoint PeerTime);
 
-  /// Returns a time that the peer's clock has reached; nothing before the first
-  /// observe().
-  std::optional<TimePoint> reached(TimePoint Now) const;
+  /// Returns a time that the peer's clock had reached at At, which may be in
+  /// the past; nothing before the first observe().
+  std::optional<TimePoint> reached(TimePoint At) const;
 
 private:
-  /// Share by which the peer's clock may run slower than the local one.
+  /// Share by which the peer's clock may run slower or faster than the local
+  /// one.
   static constexpr double MaxDriftShare = 0.001;
 
   std::optional<TimePoint> m_PeerTime; ///< Bound at m_ObservedAt.
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -309,6 +309,15 @@
   m_Events.m_Changed();
 }
 
+template <WorkerTransport Transport>
+std::shared_ptr<const TimePoint>
+ShardHost<Transport>::runUntil(const StartRun &Order) const {
+  if (Order.m_Stored)
+    return m_Events.m_StoredRunUntil({Order.m_Task, Order.m_Number});
+  auto Limit = m_RunUntil.find(Order.m_Task.m_Job);
+  return Limit == m_RunUntil.end() ? nullptr : Limit->second;
+}
+
 template <WorkerTransport Transport>
 void ShardHost<Transport>::execute(const StartRun &Order) {
   auto Found = m_OwnedWorkers.find(Order.m_Worker);
@@ -318,6 +327,17 @@
     scheduleEffects();
     return;
   }
+  std::shared_ptr<const TimePoint> RunUntil = runUntil(Order);
+  if (Order.m_Stored && RunUntil &&
+      Found->second.m_Session->leaseGrantedUntil() > *RunUntil) {
+    // A lease covers all runs of a worker, and is never shortened.
+    m_Log.info("run_would_outlast_its_limit",
+               {{"task", Order.m_Task.str()}, {"worker", Order.m_Worker}});
+    m_Scheduler.runRefused(EventLoop::now(), Order.m_Run,
+                           RefusalReason::Expired);
+    scheduleEffects();
+    return;
+  }
   m_Starts.add();
   m_StartLatency.add(Order.m_WaitedMs / 1000);
   RunRecord &Added = m_Runs[Order.m_Run];
@@ -326,10 +346,7 @@
            EventLoop::now(),
            Order.m_ExpectedMs,
            0,
-           nullptr};
-  if (auto Limit = m_RunUntil.find(Order.m_Task.m_Job);
-      Limit != m_RunUntil.end() && !Order.m_Stored)
-    Added.m_RunUntil = Limit->second;
+           std::move(RunUntil)};
   m_Log.info("run_ordered", {{"job", Order.m_Task.m_Job},
                              {"task", Order.m_Task.str()},
                              {"run", Order.m_Number},
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -3,12 +3,12 @@
 
 #include "auburnhub/Base/Log.h"
 #include "auburnhub/Jobs/JobScheduler.h"
-#include "auburnhub/Net/EventLoop.h"
 #include "auburnhub/Node/NodeMessages.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,23 +29,30 @@
 /// keepers of the partitions and reports the end of each run to its keeper,
 /// again after a change of the keeper, until the end is stored.
 ///
-/// Only orders of the keeper with the highest epoch seen are accepted. The runs
-/// of a lost keeper continue until a timeout expires, so that the next keeper
-/// can take them over.
+/// Only orders of the keeper with the highest epoch seen are accepted. A run
+/// continues while its keeper confirms it. One that is not confirmed any more
+/// is stopped after a time that lets the next keeper take it over; the leases
+/// of its worker end StoredRunLimitMs after the last confirmation even if it
+/// cannot be stopped. The next keeper, which may not reach this owner, relies
+/// on that.
 class StoredRuns {
 public:
-  StoredRuns(EventLoop &Loop, std::uint32_t PartitionCount,
-             StoredRunsEffects Effects)
-      : m_Loop(Loop), m_PartitionCount(PartitionCount),
-        m_Effects(std::move(Effects)) {}
+  StoredRuns(std::uint32_t PartitionCount, StoredRunsEffects Effects)
+      : m_PartitionCount(PartitionCount), m_Effects(std::move(Effects)) {}
 
   // From keepers.
   /// A keeper has opened a partition or asks for its runs: reports the ends
   /// that are not stored yet, then the runs.
   void opened(const std::string &Keeper, const LedgerOpened &Msg);
   /// Starts a run; an order that is received again is ignored. Refused if the
-  /// keeper has been superseded.
-  void run(const std::string &Keeper, const RunStoredTask &Msg);
+  /// keeper has been superseded, or if ConfirmedAt, when the log last confirmed
+  /// it, is long ago. TimePoint::max() if the keeper does not say so.
+  void run(const std::string &Keeper, const RunStoredTask &Msg,
+           TimePoint ConfirmedAt);
+  /// The log has confirmed the keeper at ConfirmedAt: the runs that it lists
+  /// may continue.
+  void confirmed(const std::string &Keeper, const StoredRunsConfirmed &Msg,
+                 TimePoint ConfirmedAt);
   /// Reports to the keeper that the task is not run here.
   void refuse(const std::string &Keeper, const RunStoredTask &Msg,
               JobReason Reason) const;
@@ -53,9 +60,13 @@
   void stop(const std::string &Keeper, const StopStoredRun &Msg);
   /// The end of a run is stored: forgets it and acknowledges it to its worker.
   void endStored(const StoredEndConfirmed &Msg);
-  /// Stops the runs of each of the keeper's partitions when a timeout expires,
-  /// unless a new keeper has appeared for the partition before.
+  /// The keeper is unreachable; ends are reported to the next one.
   void keeperLost(const std::string &Keeper);
+  /// Stops the runs that have not been confirmed for some time.
+  void stopUnconfirmed(TimePoint Now);
+  /// Returns the time by which a run must have ended, which rises while it is
+  /// confirmed; null if the run is unknown.
+  std::shared_ptr<const TimePoint> runUntil(const StoredRun &Run) const;
 
   // From workers.
   /// A run that this owner ordered has ended: reports it to the keeper.
@@ -76,7 +87,6 @@
   struct Partition {
     LedgerEpoch m_Epoch = 0;
     std::string m_Keeper; ///< Empty after the keeper was lost.
-    EventLoop::Timer m_OrphanTimer;
   };
   struct Run {
     std::uint32_t m_PartitionId = 0;
@@ -85,6 +95,9 @@
     /// reuses its run numbers.
     std::set<std::string> m_OtherWorkers;
     std::optional<StoredTaskReport> m_End; ///< Reported, but not stored yet.
+    /// Shared with the lease of its worker; null for runs of earlier owners.
+    std::shared_ptr<TimePoint> m_RunUntil;
+    bool m_IsStopped = false; ///< For want of a confirmation.
   };
   using RunKey = std::pair<TaskRef, std::uint32_t>;
 
@@ -94,9 +107,8 @@
   void report(StoredTaskReport Report);
   /// Acknowledges the end of a run to all workers that list it.
   void acknowledge(const Run &Ended, const StoredEndConfirmed &Msg) const;
-  void stopOrphans(std::uint32_t PartitionId);
+  static TimePoint runLimit(TimePoint ConfirmedAt);
 
-  EventLoop &m_Loop;
   std::uint32_t m_PartitionCount;
   StoredRunsEffects m_Effects;
   Log m_Log{"stored-runs"};
