Node: Number calls so that no other process has the numbers

A GET of an unknown job got a state and a DELETE of one was confirmed in the same way.

Cause: a keeper answers to the name of a node and the number of a call. After a restart both recur, and "done" was taken from any node for any call of the number. In the logs of the case the false answers have no keeper, as none was asked, and the store has no record of the jobs.

Calls are now numbered from a random number on in each process, for stored jobs, for others and for cancellations, and an answer names its job. An answer that is for another process, job or owner is ignored and logged (answer_ignored). The number names the process whatever version the answering node has.

The stand-in of the store can now hold calls until it serves again, as the protocol allows.

--- a/Source/Node/JobRouter.cpp
+++ b/Source/Node/JobRouter.cpp
@@ -28,9 +28,10 @@
 } // namespace
 
 JobRouter::JobRouter(EventLoop &Loop, std::string DataCentre,
-                     MetricsRegistry &Metrics, RouterEffects Effects)
+                     CallNumbers Numbers, MetricsRegistry &Metrics,
+                     RouterEffects Effects)
     : m_Loop(Loop), m_Effects(std::move(Effects)),
-      m_Owners(std::move(DataCentre)), m_Metrics(Metrics),
+      m_Owners(std::move(DataCentre)), m_Numbers(Numbers), m_Metrics(Metrics),
       m_Latency(Metrics.latency("auburnhub_job_seconds",
                                 "From receipt of a job to its answer")) {}
 
@@ -60,7 +61,7 @@
 
 std::uint64_t JobRouter::submit(JobRequest Job, Done Answer,
                                 IsConnected IsCallerConnected) {
-  std::uint64_t Id = ++m_LastCall;
+  std::uint64_t Id = m_Numbers.next();
   Call &OpenCall = m_Calls[Id];
   OpenCall.m_ReceivedAt = EventLoop::now();
   OpenCall.m_Done = std::move(Answer);
@@ -162,11 +163,20 @@
     route(Id);
 }
 
-void JobRouter::answered(const JobAnswer &Answer) {
+void JobRouter::answered(const std::string &Owner, const JobAnswer &Answer) {
   auto Found = m_Calls.find(Answer.m_Call);
   if (Found == m_Calls.end())
     return;
   Call &OpenCall = Found->second;
+  bool IsForJob = Answer.m_Job.empty() || Answer.m_Job == OpenCall.m_Job.m_Id;
+  if (Owner != OpenCall.m_Owner || !IsForJob) {
+    m_Log.info("answer_ignored",
+               {{"call", Answer.m_Call},
+                {"job", Answer.m_Job},
+                {"owner", Owner},
+                {"outcome", jobOutcomeName(Answer.m_Outcome)}});
+    return;
+  }
   updateOwnerLoad(OpenCall.m_Owner, Answer.m_FreeSlots, Answer.m_WaitingTasks);
   if (Answer.m_Outcome == JobOutcome::NotRun &&
       Answer.m_Reason != JobReason::Cancelled && !Answer.m_HasEarlierRuns &&
--- a/Source/Node/LedgerCalls.cpp
+++ b/Source/Node/LedgerCalls.cpp
@@ -19,9 +19,10 @@
 } // namespace
 
 LedgerCalls::LedgerCalls(EventLoop &Loop, std::uint32_t PartitionCount,
-                         MetricsRegistry &Metrics, Send Send)
+                         CallNumbers Numbers, MetricsRegistry &Metrics,
+                         Send Send)
     : m_Loop(Loop), m_PartitionCount(PartitionCount), m_Send(std::move(Send)),
-      m_Metrics(Metrics),
+      m_Numbers(Numbers), m_Metrics(Metrics),
       m_Latency(
           Metrics.latency("auburnhub_stored_call_seconds",
                           "From a call about a stored job to its answer")) {}
@@ -77,7 +78,7 @@
 
 void LedgerCalls::call(LedgerCallKind Kind, const std::string &Job,
                        JobRequest Request, double TimeLeftMs, Done Done) {
-  std::uint64_t Id = ++m_LastCall;
+  std::uint64_t Id = m_Numbers.next();
   Call &OpenCall = m_Calls[Id];
   std::uint32_t PartitionId = ledgerPartitionOf(Job, m_PartitionCount);
   OpenCall.m_Message = {Id, Kind, PartitionId, Job, std::move(Request)};
@@ -130,8 +131,18 @@
 void LedgerCalls::answered(const std::string &Node,
                            const LedgerCallAnswer &Answer) {
   auto Found = m_Calls.find(Answer.m_Call);
-  if (Found == m_Calls.end())
+  bool IsForCall =
+      Found != m_Calls.end() &&
+      (Answer.m_Id.empty() || Answer.m_Id == Found->second.m_Message.m_Id);
+  if (!IsForCall) {
+    // The call is over, or another process of this name has made it.
+    m_Log.info("answer_ignored",
+               {{"call", Answer.m_Call},
+                {"job", Answer.m_Id},
+                {"keeper", Node},
+                {"outcome", ledgerCallOutcomeName(Answer.m_Outcome)}});
     return;
+  }
   // A refusal of an earlier keeper says nothing about the current one, which
   // may have stored the job.
   if (Node != Found->second.m_Keeper &&
--- a/Tests/Node/JobRouterTest.cpp
+++ b/Tests/Node/JobRouterTest.cpp
@@ -23,7 +23,7 @@
     Effects.m_FitsRegisteredWorkers = [this](const JobRequest &) {
       return m_JobFits;
     };
-    m_Router.emplace(m_Loop, "a", m_Metrics, Effects);
+    m_Router.emplace(m_Loop, "a", CallNumbers(1), m_Metrics, Effects);
   }
 
   void owner(const std::string &Name, const std::string &DataCentre,
@@ -52,7 +52,7 @@
     Answer.m_Call = Call;
     Answer.m_Outcome = Outcome;
     Answer.m_Reason = Reason;
-    m_Router->answered(Answer);
+    m_Router->answered(m_Sent.back().m_Owner, Answer);
   }
 
   bool onlyResult(JobOutcome Outcome) const {
@@ -134,7 +134,7 @@
   Answer.m_Reason = JobReason::NoRoom;
   Answer.m_RetryAfterMs = 1000;
   Answer.m_HasEarlierRuns = true;
-  m_Router->answered(Answer);
+  m_Router->answered("near", Answer);
   BOOST_TEST(m_Sent.size() == 1U);
   BOOST_REQUIRE(onlyResult(JobOutcome::NotRun));
   BOOST_TEST(m_Results[0].m_RetryAfterMs == 1000);
@@ -161,6 +161,22 @@
   BOOST_TEST(m_Sent.size() == 1U);
 }
 
+// Guards against the answer to a call of an earlier process with this name.
+BOOST_AUTO_TEST_CASE(OnlyByTheAnswerOfTheOwnerThatWasAskedAboutItsJob) {
+  owner("near", "a", 7);
+  JobAnswer Answer;
+  Answer.m_Call = submit();
+  Answer.m_Job = "another";
+  Answer.m_Outcome = JobOutcome::NotRun;
+  m_Router->answered("near", Answer);
+  Answer.m_Job = "job";
+  m_Router->answered("far", Answer);
+  BOOST_TEST(m_Results.empty());
+  Answer.m_Outcome = JobOutcome::Completed;
+  m_Router->answered("near", Answer);
+  BOOST_TEST(onlyResult(JobOutcome::Completed));
+}
+
 // A call that ended while another one was answered ended the process: it was
 // looked up in a list taken before.
 BOOST_AUTO_TEST_CASE(WhenCallersLeaveWhileTheLossOfAnOwnerIsHandled) {
--- a/Tests/Node/LedgerCallsTest.cpp
+++ b/Tests/Node/LedgerCallsTest.cpp
@@ -31,9 +31,10 @@
   void answer(LedgerCallOutcome Outcome) {
     answer(m_Sent.back().first, Outcome);
   }
-  void answer(const std::string &Node, LedgerCallOutcome Outcome) {
-    m_Calls.answered(Node,
-                     {m_Sent.back().second, Outcome, StoredJobState::Queued});
+  void answer(const std::string &Node, LedgerCallOutcome Outcome,
+              const std::string &Job = "a") {
+    m_Calls.answered(
+        Node, {m_Sent.back().second, Job, Outcome, StoredJobState::Queued});
     run();
   }
   bool waitForOutcome(LedgerCallOutcome Outcome) {
@@ -48,7 +49,7 @@
   EventLoop m_Loop;
   MetricsRegistry m_Metrics;
   std::vector<std::pair<std::string, std::uint64_t>> m_Sent;
-  LedgerCalls m_Calls{m_Loop, 1, m_Metrics,
+  LedgerCalls m_Calls{m_Loop, 1, CallNumbers::ofNewProcess(), m_Metrics,
                       [this](const std::string &Node, const LedgerCall &Msg) {
                         m_Sent.emplace_back(Node, Msg.m_Call);
                       }};
@@ -117,6 +118,25 @@
   BOOST_TEST((m_Outcome == LedgerCallOutcome::Unknown));
 }
 
+// Guards against the answer to a call of an earlier process with this name.
+BOOST_AUTO_TEST_CASE(IsNotAnsweredByTheAnswerForAnotherJob) {
+  reportKeeper("a", 1);
+  submit();
+  answer("a", LedgerCallOutcome::Done, "b");
+  BOOST_TEST(!m_Outcome);
+  answer("a", LedgerCallOutcome::Done);
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::Done));
+}
+
+BOOST_AUTO_TEST_CASE(HasAnotherNumberThanThoseOfAnotherProcess) {
+  LedgerCallsFixture Other;
+  reportKeeper("a", 1);
+  submit();
+  Other.reportKeeper("a", 1);
+  Other.submit();
+  BOOST_TEST(m_Sent.back().second != Other.m_Sent.back().second);
+}
+
 BOOST_AUTO_TEST_SUITE(ThatWasSentToASecondKeeper)
 
 BOOST_AUTO_TEST_CASE(IsNotRefusedByTheFirstOne) {
--- a/Tests/Platform/FakeStore.cpp
+++ b/Tests/Platform/FakeStore.cpp
@@ -99,12 +99,23 @@
   return Found->second.m_Newest.at(Key);
 }
 
+void FakeStore::setResponseMode(ResponseMode Value) {
+  m_Mode = Value;
+  if (Value == ResponseMode::Serving)
+    for (const HttpExchange &Held : std::exchange(m_HeldCalls, {}))
+      onCall(Held, Value);
+}
+
 void FakeStore::onCall(const HttpExchange &Exchange, ResponseMode Mode) {
   ++m_Calls;
   if (Mode == ResponseMode::Refusing || Mode == ResponseMode::TooMany) {
     Exchange.respond(response(Mode == ResponseMode::Refusing ? 503 : 429));
     return;
   }
+  if (Mode == ResponseMode::Holding) {
+    m_HeldCalls.push_back(Exchange);
+    return;
+  }
   if (Mode == ResponseMode::Silent) {
     m_Unanswered.push_back(Exchange);
     return;
--- a/Tests/Platform/FakeStore.h
+++ b/Tests/Platform/FakeStore.h
@@ -22,6 +22,7 @@
     Refusing, ///< Answers every call with 503.
     TooMany,  ///< Answers every call with 429.
     Silent,   ///< Does not answer.
+    Holding,  ///< Carries calls out only when it serves again.
   };
 
   explicit FakeStore(EventLoop &Loop);
@@ -31,7 +32,7 @@
   }
   Address address() const { return {"127.0.0.1", m_Server.port()}; }
 
-  void setResponseMode(ResponseMode Value) { m_Mode = Value; }
+  void setResponseMode(ResponseMode Value);
   /// Opens a further listening address, whose outages can be set separately.
   /// Returns its index. Fails with Unavailable.
   absl::StatusOr<std::size_t> addListener();
@@ -125,6 +126,7 @@
   std::map<std::uint64_t, PendingRead> m_PendingReads;
   std::uint64_t m_LastReadId = 0;
   std::vector<HttpExchange> m_Unanswered;
+  std::vector<HttpExchange> m_HeldCalls; ///< In the order of their arrival.
   std::size_t m_Calls = 0;
   std::size_t m_PageSize = 0;
   std::map<std::string, std::string> m_NewestPages;
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -210,9 +210,9 @@
       KeptPartition->onCall(From, Msg);
       return;
     }
-  m_Effects.m_Send(From,
-                   LedgerCallAnswer{Msg.m_Call, LedgerCallOutcome::NotKeeper,
-                                    StoredJobState::Queued});
+  m_Effects.m_Send(From, LedgerCallAnswer{Msg.m_Call, Msg.m_Id,
+                                          LedgerCallOutcome::NotKeeper,
+                                          StoredJobState::Queued});
 }
 
 template <JobLog Log>
--- a/include/auburnhub/Node/JobRouter.h
+++ b/include/auburnhub/Node/JobRouter.h
@@ -4,6 +4,7 @@
 #include "auburnhub/Base/Log.h"
 #include "auburnhub/Base/Metrics.h"
 #include "auburnhub/Net/EventLoop.h"
+#include "auburnhub/Node/CallNumbers.h"
 #include "auburnhub/Node/NodeMessages.h"
 #include "auburnhub/Node/OwnerTable.h"
 
@@ -46,8 +47,8 @@
   /// Returns whether the caller still waits for its answer.
   using IsConnected = std::function<bool()>;
 
-  JobRouter(EventLoop &Loop, std::string DataCentre, MetricsRegistry &Metrics,
-            RouterEffects Effects);
+  JobRouter(EventLoop &Loop, std::string DataCentre, CallNumbers Numbers,
+            MetricsRegistry &Metrics, RouterEffects Effects);
 
   // Changes of owners.
   void ownerUp(const std::string &Owner, const std::string &DataCentre);
@@ -64,8 +65,10 @@
   /// submit() returns.
   std::uint64_t submit(JobRequest Job, Done Done,
                        IsConnected IsCallerConnected);
-  /// Handles the answer of an owner; ignored if the call has been answered.
-  void answered(const JobAnswer &Answer);
+  /// Handles the answer of an owner. Ignored if it is for another process or
+  /// job, from another owner than the one that was asked, or if the call has
+  /// been answered.
+  void answered(const std::string &Owner, const JobAnswer &Answer);
   /// The caller has disconnected: its job is cancelled and not answered.
   void callerDisconnected(std::uint64_t Call);
   /// Handles callers that have disconnected without an event so far.
@@ -73,7 +76,7 @@
   /// Returns the numbers of the open calls by owner.
   std::map<std::string, std::vector<std::uint64_t>> callsByOwner() const;
   /// Returns the number of the newest call.
-  std::uint64_t lastCall() const { return m_LastCall; }
+  std::uint64_t lastCall() const { return m_Numbers.last(); }
   /// Answers all calls at once and cancels their jobs; called when the process
   /// exits.
   void abandonAllCalls();
@@ -109,7 +112,7 @@
   OwnerTable m_Owners;
   std::map<std::uint64_t, Call> m_Calls;
   std::map<std::string, std::uint64_t> m_ById; ///< Calls by job id.
-  std::uint64_t m_LastCall = 0;
+  CallNumbers m_Numbers;
   MetricsRegistry &m_Metrics;
   LatencyHistogram &m_Latency;
 };
--- a/include/auburnhub/Node/LedgerCalls.h
+++ b/include/auburnhub/Node/LedgerCalls.h
@@ -4,6 +4,7 @@
 #include "auburnhub/Base/Log.h"
 #include "auburnhub/Base/Metrics.h"
 #include "auburnhub/Net/EventLoop.h"
+#include "auburnhub/Node/CallNumbers.h"
 #include "auburnhub/Node/NodeMessages.h"
 
 #include <cstdint>
@@ -27,7 +28,7 @@
   using Send = std::function<void(const std::string &Node, const LedgerCall &)>;
 
   LedgerCalls(EventLoop &Loop, std::uint32_t PartitionCount,
-              MetricsRegistry &Metrics, Send Send);
+              CallNumbers Numbers, MetricsRegistry &Metrics, Send Send);
 
   /// Replaces the partitions of which a node is known to be the keeper.
   void updateLedgers(const std::string &Node,
@@ -40,9 +41,9 @@
   /// caller's timeout.
   void call(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
             double TimeLeftMs, Done Done);
-  /// Handles the answer of a node that was asked as keeper. Ignored if the call
-  /// has been answered, or if another keeper was asked since and the call is
-  /// not done.
+  /// Handles the answer of a node that was asked as keeper. Ignored if it is
+  /// for another process or job, if the call has been answered, or if another
+  /// keeper was asked since and the call is not done.
   void answered(const std::string &Node, const LedgerCallAnswer &Answer);
   /// Answers all calls at once; called when the process exits.
   void abandonAllCalls();
@@ -82,7 +83,7 @@
   /// The newest status of each partition.
   std::map<std::uint32_t, LedgerStatus> m_Statuses;
   std::map<std::uint64_t, Call> m_Calls;
-  std::uint64_t m_LastCall = 0;
+  CallNumbers m_Numbers;
   MetricsRegistry &m_Metrics;
   LatencyHistogram &m_Latency;
 };
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -112,6 +112,7 @@
   struct Caller {
     std::string m_Node;
     std::uint64_t m_Call = 0;
+    std::string m_Job;
     LedgerCallKind m_Kind = LedgerCallKind::State;
   };
 
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -155,13 +155,14 @@
 template <JobLog Log>
 void LedgerPartition<Log>::answer(const Caller &To, LedgerCallOutcome Outcome,
                                   StoredJobState State) {
-  m_Effects.m_Send(To.m_Node, LedgerCallAnswer{To.m_Call, Outcome, State});
+  m_Effects.m_Send(To.m_Node,
+                   LedgerCallAnswer{To.m_Call, To.m_Job, Outcome, State});
 }
 
 template <JobLog Log>
 void LedgerPartition<Log>::onCall(const std::string &From,
                                   const LedgerCall &Msg) {
-  Caller To{From, Msg.m_Call, Msg.m_Kind};
+  Caller To{From, Msg.m_Call, Msg.m_Id, Msg.m_Kind};
   if (!isServing()) {
     answer(To, LedgerCallOutcome::NotKeeper);
     return;
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -207,7 +207,8 @@
 
   void accept(const JobRequester &From, const JobRequest &Job,
               TimePoint SeenAt);
-  void answer(const JobRequester &To, const JobResult &Result);
+  void answer(const JobRequester &To, const std::string &Job,
+              const JobResult &Result);
   void submitTo(const std::string &Owner, std::uint64_t Call,
                 const JobRequest &Job);
   void cancelAt(const std::string &Owner, std::uint64_t Call,
@@ -279,7 +280,7 @@
   DocumentExchange m_Documents;
   HeartbeatSchedule m_Heartbeats;
   std::map<std::uint64_t, PendingCancel> m_PendingCancels;
-  std::uint64_t m_LastCancelId = 0;
+  CallNumbers m_CancelNumbers = CallNumbers::ofNewProcess();
   TimePoint m_StartedAt;
   TimePoint m_LastTick;
   TimePoint m_ClaimNotBefore;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -67,14 +67,16 @@
            },
            [this](const ShardId &Shard) { onFenced(Shard); },
            [this] { onHostChanged(); }}),
-      m_Router(Loop, m_Settings.m_DataCentre, Metrics,
+      m_Router(Loop, m_Settings.m_DataCentre, CallNumbers::ofNewProcess(),
+               Metrics,
                {[this](const std::string &Owner, std::uint64_t Call,
                        const JobRequest &Job) { submitTo(Owner, Call, Job); },
                 [this](const std::string &Owner, std::uint64_t Call,
                        const std::string &Job) { cancelAt(Owner, Call, Job); },
                 [this](const JobRequest &Job) { return couldEverRun(Job); }}),
       m_StoredRuns(m_Settings.m_LedgerPartitions, storedRunsEffects()),
-      m_LedgerCalls(Loop, m_Settings.m_LedgerPartitions, Metrics,
+      m_LedgerCalls(Loop, m_Settings.m_LedgerPartitions,
+                    CallNumbers::ofNewProcess(), Metrics,
                     [this](const std::string &To, const LedgerCall &Msg) {
                       sendStoredJobMessage(To, Msg);
                     }),
@@ -250,7 +252,7 @@
          static_cast<const SubmitJob *>(nullptr));
   Handle([&](const WaitingCalls &Msg) { onWaitingCalls(From, Msg); },
          static_cast<const WaitingCalls *>(nullptr));
-  Handle([&](const JobAnswer &Msg) { m_Router.answered(Msg); },
+  Handle([&](const JobAnswer &Msg) { m_Router.answered(From, Msg); },
          static_cast<const JobAnswer *>(nullptr));
   Handle([&](const CancelJob &Msg) { onCancel(From, Msg); },
          static_cast<const CancelJob *>(nullptr));
@@ -357,9 +359,10 @@
   if (SeenAt < unseenLimit(EventLoop::now())) {
     m_Log.info("submission_too_old",
                {{"job", Job.m_Id}, {"from", From.m_Node}});
-    answer(From, {JobOutcome::NotRun, JobReason::NoRoom,
-                  m_Settings.m_Jobs.m_RetryAfterMs,
-                  m_Host.knows(Job.m_Id) || m_Host.hasEarlierRuns(Job.m_Id)});
+    answer(From, Job.m_Id,
+           {JobOutcome::NotRun, JobReason::NoRoom,
+            m_Settings.m_Jobs.m_RetryAfterMs,
+            m_Host.knows(Job.m_Id) || m_Host.hasEarlierRuns(Job.m_Id)});
     return;
   }
   if (m_Host.knows(Job.m_Id))
@@ -367,15 +370,17 @@
       m_Sightings.put(Job.m_Id, From, SeenAt);
       m_Host.extend(Job.m_Id, runLimit(SeenAt));
       // The job was submitted again: only the newer call receives its result.
-      answer(*Earlier, {JobOutcome::Abandoned, JobReason::Cancelled, 0});
+      answer(*Earlier, Job.m_Id,
+             {JobOutcome::Abandoned, JobReason::Cancelled, 0});
       return;
     }
   if (!acceptsJobs()) {
     bool HasEarlierRuns = m_Host.hasEarlierRuns(Job.m_Id);
-    answer(From, {JobOutcome::NotRun,
-                  m_Draining ? JobReason::Stopping : JobReason::NoOwner,
-                  HasEarlierRuns ? m_Settings.m_Jobs.m_RetryAfterMs : 0,
-                  HasEarlierRuns});
+    answer(From, Job.m_Id,
+           {JobOutcome::NotRun,
+            m_Draining ? JobReason::Stopping : JobReason::NoOwner,
+            HasEarlierRuns ? m_Settings.m_Jobs.m_RetryAfterMs : 0,
+            HasEarlierRuns});
     return;
   }
   m_Requesters.add(Job.m_Id, From);
@@ -387,15 +392,17 @@
 void Node<Transport, Log>::onJobFinished(const JobFinished &Finished) {
   if (auto To = m_Requesters.takeFirst(Finished.m_Job)) {
     m_Sightings.erase(Finished.m_Job, *To);
-    answer(*To, Finished.m_Result);
+    answer(*To, Finished.m_Job, Finished.m_Result);
   }
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::answer(const JobRequester &To,
+                                  const std::string &Job,
                                   const JobResult &Result) {
   JobAnswer Msg;
   Msg.m_Call = To.m_Call;
+  Msg.m_Job = Job;
   Msg.m_Outcome = Result.m_Outcome;
   Msg.m_Reason = Result.m_Reason;
   Msg.m_RetryAfterMs = Result.m_RetryAfterMs;
@@ -404,7 +411,7 @@
   Msg.m_WaitingTasks = m_Host.waitingTasks();
   if (To.m_Node.empty())
     // Posted, because this may run within JobRouter::submit().
-    m_Loop.post([this, Msg] { m_Router.answered(Msg); });
+    m_Loop.post([this, Msg] { m_Router.answered(m_Settings.m_Name, Msg); });
   else
     m_Links.send(To.m_Node, Msg);
 }
@@ -416,7 +423,7 @@
     Done(true);
     return;
   }
-  std::uint64_t Id = ++m_LastCancelId;
+  std::uint64_t Id = m_CancelNumbers.next();
   std::size_t QueriedNodes = m_Links.broadcast(CancelJob{Job, Id, 0});
   if (QueriedNodes == 0) {
     Done(false);
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -167,6 +167,7 @@
 struct JobAnswer {
   static constexpr std::string_view TypeName = "job_answer";
   std::uint64_t m_Call = 0;
+  std::string m_Job; ///< Empty in answers of older versions.
   JobOutcome m_Outcome = JobOutcome::Abandoned;
   JobReason m_Reason = JobReason::None;
   double m_RetryAfterMs = 0;
@@ -175,6 +176,7 @@
   std::uint64_t m_WaitingTasks = 0;
   template <typename Visitor> void fields(Visitor &V) {
     V("call", m_Call);
+    V("job", m_Job);
     V("outcome", m_Outcome);
     V("reason", m_Reason);
     V("retry_after", m_RetryAfterMs);
@@ -247,10 +249,12 @@
 struct LedgerCallAnswer {
   static constexpr std::string_view TypeName = "ledger_call_answer";
   std::uint64_t m_Call = 0;
+  std::string m_Id; ///< Of the job; empty in answers of older versions.
   LedgerCallOutcome m_Outcome = LedgerCallOutcome::Unknown;
   StoredJobState m_State = StoredJobState::Queued;
   template <typename Visitor> void fields(Visitor &V) {
     V("call", m_Call);
+    V("id", m_Id);
     V("outcome", m_Outcome);
     V("state", m_State);
   }
