--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -208,6 +208,18 @@
   BOOST_TEST(isAcknowledged(*First));
 }
 
+// Guards against the acknowledgement of an end after which the task was started
+// again elsewhere: the job does not tell, once it is cancelled.
+BOOST_AUTO_TEST_CASE(AndAcknowledgesALaterEndOnlyWhenTheLeaseHasEnded) {
+  auto First = start();
+  cancel("a");
+  store();
+  m_AcknowledgedEnds.clear();
+  endRun(*First, StoredRunEnd::Done);
+  BOOST_REQUIRE(m_AcknowledgedEnds.size() == 1U);
+  BOOST_TEST(m_AcknowledgedEnds.front().m_Superseded);
+}
+
 BOOST_AUTO_TEST_CASE(WhileTheFailureOfATaskIsBeingStored) {
   auto First = start();
   endRun(*First, StoredRunEnd::Failed);
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -97,9 +97,9 @@
   std::string m_Owner;
   TaskRef m_Task;
   std::uint32_t m_Number = 0;
-  /// The run was presumed to have ended, and the task was started again or its
-  /// job completed without this run. The worker's lease must expire before the
-  /// end is acknowledged.
+  /// The run was presumed to have ended, and the task may have been started
+  /// again or its job finished without this run. The worker's lease must expire
+  /// before the end is acknowledged.
   bool m_Superseded = false;
 };
 
