Jobs: Count a job as waiting again if its owner did not run it

Cause: the ledger took a job for started when a task was assigned to an owner, and kept to that when the owner answered that it had not run the task. It now takes the assignment back, unless a run of the job is known or another task may run.

WhoseTasksWereNotRunByTheirOwners failed before.

--- a/Source/Jobs/JobLedger.cpp
+++ b/Source/Jobs/JobLedger.cpp
@@ -151,7 +151,7 @@
       continue;
     setState(Job, TaskIndex, TaskState::Done);
     --Job.m_UnfinishedOfStep[taskRefOf(Job, TaskIndex).m_Step];
-    Job.m_HasStarted = true;
+    setHasRun(Job);
   }
 }
 
--- a/Source/Jobs/JobLedgerLosses.cpp
+++ b/Source/Jobs/JobLedgerLosses.cpp
@@ -94,7 +94,7 @@
       {TaskIndex, End.m_Number, On, WallMs, /*m_HasCrashed=*/false});
   m_UnconfirmedLosses.emplace(On.m_Address, Job.m_Record.m_Job.m_Id, TaskIndex,
                               End.m_Number);
-  Job.m_HasStarted = true;
+  setHasRun(Job);
   LedgerTask &Task = Job.m_Tasks[TaskIndex];
   Task.m_AvoidedWorkers.push_back(On.m_Worker);
   bool MayBeAlive =
--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -81,7 +81,7 @@
   if (Task.m_Number != End.m_Number)
     stopRun(Job, TaskIndex);
   Task.m_Number = End.m_Number;
-  Job.m_HasStarted = true;
+  setHasRun(Job);
   Done.push_back(TaskIndex);
   eraseLostRuns(Job, TaskIndex);
   setState(Job, TaskIndex, TaskState::Ending);
@@ -108,7 +108,7 @@
   if (std::find(Failed.begin(), Failed.end(), Added) == Failed.end())
     Failed.push_back(Added);
   LedgerTask &Task = Job.m_Tasks[TaskIndex];
-  Job.m_HasStarted = true;
+  setHasRun(Job);
   if (!Worker.empty())
     Task.m_AvoidedWorkers.push_back(Worker);
   // A task in doubt after a takeover may have a later run than the reported
@@ -181,9 +181,22 @@
   // faster.
   if (Report.m_Outcome == StoredRunEnd::Over && !Report.m_Worker.empty())
     Task.m_AvoidedWorkers.push_back(Report.m_Worker);
-  if (Report.m_Outcome == StoredRunEnd::Over)
+  if (Report.m_Outcome == StoredRunEnd::Over) {
     Task.m_Refusals = 0;
+    setHasRun(*Job);
+  }
   startBackoff(Now, *Job, *TaskIndex);
+  if (Report.m_Outcome == StoredRunEnd::NotRun)
+    revokeStart(*Job);
+}
+
+void JobLedger::revokeStart(LedgerJob &Job) {
+  bool MayRun = std::any_of(
+      Job.m_Tasks.begin(), Job.m_Tasks.end(), [](const LedgerTask &Task) {
+        return Task.m_State == TaskState::Running ||
+               (Task.m_State == TaskState::InDoubt && Task.m_Runs > 0);
+      });
+  Job.m_HasStarted = Job.m_HasRun || MayRun;
 }
 
 void JobLedger::startBackoff(TimePoint Now, LedgerJob &Job,
@@ -220,7 +233,7 @@
   Task.m_Owner = Owner;
   Task.m_Number = Number;
   Task.m_ReportedAt = Now;
-  Job->m_HasStarted = true;
+  setHasRun(*Job);
   setState(*Job, *TaskIndex, TaskState::Running);
 }
 
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -389,6 +389,26 @@
   BOOST_TEST(m_Ledger->pending().empty());
 }
 
+// Guards against a job that is taken for running though no worker fits it.
+BOOST_AUTO_TEST_CASE(WhoseTasksWereNotRunByTheirOwners) {
+  auto First = start();
+  auto Second = start();
+  endRun(*First, StoredRunEnd::NotRun);
+  BOOST_TEST(m_Ledger->pending().empty());
+  endRun(*Second, StoredRunEnd::NotRun);
+  BOOST_TEST(m_Ledger->pending().at("certify") == 1U);
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(ButNotThoseThatHaveRunBefore) {
+  auto First = start();
+  endRun(*First, StoredRunEnd::Over);
+  advanceTime(1000);
+  First = start();
+  endRun(*First, StoredRunEnd::NotRun);
+  BOOST_TEST(m_Ledger->pending().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -264,7 +264,9 @@
     TimePoint m_Received;      ///< When the job was submitted or loaded.
     std::uint64_t m_Order = 0; ///< Order of acceptance.
     bool m_IsStored = false;
+    /// A task has run, or is assigned to an owner, which may start it.
     bool m_HasStarted = false;
+    bool m_HasRun = false; ///< A run of a task is known.
     /// State according to the stored records; shown to callers.
     StoredJobState m_VisibleState = StoredJobState::Queued;
     /// Calls of submit() to be answered once the job is stored.
@@ -330,6 +332,12 @@
   void onProgressStored(TimePoint Now, const std::string &Id,
                         StoredJobState State);
   void startBackoff(TimePoint Now, LedgerJob &Job, std::uint32_t TaskIndex);
+  /// Records that a run of a task is known.
+  static void setHasRun(LedgerJob &Job) {
+    Job.m_HasStarted = Job.m_HasRun = true;
+  }
+  /// An owner has not run the task that was assigned to it.
+  static void revokeStart(LedgerJob &Job);
   // Lost runs.
   static LossCount countLosses(const LedgerJob &Job, std::uint32_t TaskIndex);
   /// Returns the run with this number if it was lost, or nullptr.
