Node: Refuse no call for a job that is being stored

A caller that submitted a job again while the append of its first call was late got 503, "never runs", though the job was stored and ran when the append ended (review, "Seen, and not made a case").

Cause: a partition refuses new jobs while an append is overdue, and asked only whether the job is stored, not whether it is part of that append. The second call now gets the result of the append, like the first one.

IsNotRefusedAgainWhileTheAppendOfItsFirstCallIsLate failed before.

--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -40,9 +40,15 @@
     m_Owners.setLoad("owner", 4, 0);
     m_Partition.begin();
     answer(absl::OkStatus());
+    call(LedgerCallKind::Submit);
+  }
+
+  /// Makes a call about the job.
+  void call(LedgerCallKind Kind) {
+    m_Outcome.reset();
     LedgerCall Call;
     Call.m_Call = 7;
-    Call.m_Kind = LedgerCallKind::Submit;
+    Call.m_Kind = Kind;
     Call.m_Id = "a";
     Call.m_Job.m_Id = "a";
     Call.m_Job.m_Steps.resize(1);
@@ -190,6 +196,17 @@
   BOOST_TEST(m_StartedRuns == 0);
 }
 
+// Guards against 503, "never runs", for a job that is being stored.
+BOOST_AUTO_TEST_CASE(IsNotRefusedAgainWhileTheAppendOfItsFirstCallIsLate) {
+  TimePoint Begin = EventLoop::now();
+  BOOST_REQUIRE(advanceUntil(
+      [&] { return millisecondsBetween(Begin, EventLoop::now()) > 600; }));
+  call(LedgerCallKind::Submit);
+  BOOST_TEST(!m_Outcome.has_value());
+  answer(absl::OkStatus());
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::Done));
+}
+
 BOOST_AUTO_TEST_CASE(WasNotStoredIfAnotherKeeperFencedItsOnlyAppend) {
   answer(absl::FailedPreconditionError("fenced"));
   BOOST_TEST((m_Outcome == LedgerCallOutcome::NotKeeper));
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -169,6 +169,8 @@
   void submit(TimePoint Now, std::uint64_t Call, JobRequest Request);
   void cancel(TimePoint Now, std::int64_t WallMs, std::uint64_t Call,
               const std::string &Id);
+  /// Returns whether the job is stored or is to be stored.
+  bool knows(const std::string &Id) const { return m_Jobs.contains(Id); }
   /// Returns the state of a stored job, or nothing if the job is unknown.
   std::optional<StoredJobState> state(const std::string &Id) const;
   /// Returns the number of jobs of each queue of which no task has started.
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -179,7 +179,9 @@
   bool IsAppendOverdue =
       m_AppendInFlight &&
       millisecondsBetween(m_BatchTakenAt, Now) > m_Settings.m_RefuseAfterMs;
-  if (Msg.m_Kind == LedgerCallKind::Submit && !Known && IsAppendOverdue) {
+  // A job that is part of the append is answered with its result.
+  if (Msg.m_Kind == LedgerCallKind::Submit && !m_Ledger.knows(Msg.m_Id) &&
+      IsAppendOverdue) {
     answer(To, LedgerCallOutcome::Refused);
     return;
   }
