Node: Answer no call for a partition that may have another keeper

A process that was paused until its membership had expired, and reads a call before its next check, answered it from its records: 410 for a job that the next keeper had accepted meanwhile.

HasNoStateAtANodeThatMayNotBeItsKeeper failed before. No run with real processes has shown it.

--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -207,6 +207,14 @@
   BOOST_TEST((m_Outcome == LedgerCallOutcome::Done));
 }
 
+// Guards against answers from the records of a keeper that was replaced.
+BOOST_AUTO_TEST_CASE(HasNoStateAtANodeThatMayNotBeItsKeeper) {
+  answer(absl::OkStatus());
+  m_MayStart = false;
+  call(LedgerCallKind::State);
+  BOOST_TEST((m_Outcome == LedgerCallOutcome::NotKeeper));
+}
+
 BOOST_AUTO_TEST_CASE(WasNotStoredIfAnotherKeeperFencedItsOnlyAppend) {
   answer(absl::FailedPreconditionError("fenced"));
   BOOST_TEST((m_Outcome == LedgerCallOutcome::NotKeeper));
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -163,7 +163,8 @@
 void LedgerPartition<Log>::onCall(const std::string &From,
                                   const LedgerCall &Msg) {
   Caller To{From, Msg.m_Call, Msg.m_Id, Msg.m_Kind};
-  if (!isServing()) {
+  // After a pause the partition may have another keeper and further jobs.
+  if (!isServing() || !m_Effects.m_MayStart()) {
     answer(To, LedgerCallOutcome::NotKeeper);
     return;
   }
