Jobs: Start no task on a worker whose lease outlasts its run's limit

Cause: no lease that is given from a start on reaches beyond the limit of the run, but a task was placed on a worker whatever lease this held for its other runs. A lease covers all runs of a worker and is never shortened.

The scheduler now knows when the lease of each worker ends at the latest, and starts a task only on a worker whose lease ends by the limit of its run. Leases that are given while a task waits end by the limit of that task, so that it finds a worker when there is room. Stored tasks go by the same rule, which replaces the check in ShardHost.

--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -53,6 +53,19 @@
     advance(Now);
 }
 
+void JobScheduler::setLeaseEnd(const std::string &Worker, TimePoint LeaseEnd) {
+  if (WorkerRecord *Record = m_Workers.find(Worker))
+    Record->m_LeaseEnd = std::max(Record->m_LeaseEnd, LeaseEnd);
+}
+
+TimePoint JobScheduler::waitingRunLimit() const {
+  TimePoint Result = TimePoint::max();
+  for (const auto &[Id, Job] : m_Jobs)
+    if (Job->m_Waiting > 0 && Job->m_RunUntil)
+      Result = std::min(Result, *Job->m_RunUntil);
+  return Result;
+}
+
 void JobScheduler::removeWorker(const std::string &Worker) {
   m_Workers.erase(Worker);
 }
@@ -85,9 +98,11 @@
 }
 
 std::unique_ptr<JobScheduler::ActiveJob>
-JobScheduler::makeJob(TimePoint Now, JobRequest Request) const {
+JobScheduler::makeJob(TimePoint Now, JobRequest Request,
+                      RunLimit RunUntil) const {
   auto Owned = std::make_unique<ActiveJob>();
   ActiveJob &Job = *Owned;
+  Job.m_RunUntil = std::move(RunUntil);
   Job.m_Request = std::move(Request);
   Job.m_Submitted = Now;
   Job.m_Deadline = addMs(Now, Job.m_Request.m_TimeLeftMs);
@@ -103,9 +118,10 @@
   return Owned;
 }
 
-void JobScheduler::submit(TimePoint Now, JobRequest Request) {
+void JobScheduler::submit(TimePoint Now, JobRequest Request,
+                          RunLimit RunUntil) {
   std::string Id = Request.m_Id;
-  auto Owned = makeJob(Now, std::move(Request));
+  auto Owned = makeJob(Now, std::move(Request), std::move(RunUntil));
   ActiveJob &Job = *Owned;
   bool Fits = true;
   for (std::uint32_t S = 0; S < Job.m_Request.m_Steps.size(); ++S) {
@@ -309,6 +325,8 @@
   Requirements.m_Step = &Step;
   Requirements.m_ExpectedMs = expectedMs(Job.m_Request.m_Policy, Step);
   Requirements.m_AvoidedWorkers = &Task.m_AvoidedWorkers;
+  if (Job.m_RunUntil)
+    Requirements.m_RunUntil = *Job.m_RunUntil;
   Requirements.m_TasksOnWorker = [&](const std::string &Worker) {
     return tasksOfStepOn(Task, Worker);
   };
@@ -371,6 +389,7 @@
   Order.m_WaitedMs = millisecondsBetween(Job.m_Submitted, Now);
   Order.m_Stored = Job.m_Stored;
   Order.m_RunsAlone = Requirements.m_RunsAlone;
+  Order.m_RunUntil = Job.m_RunUntil;
   m_Effects.emplace_back(std::move(Order));
   return true;
 }
--- a/Source/Jobs/JobSchedulerStored.cpp
+++ b/Source/Jobs/JobSchedulerStored.cpp
@@ -7,7 +7,8 @@
 
 namespace auburnhub {
 
-void JobScheduler::submit(TimePoint Now, const StoredTask &Stored) {
+void JobScheduler::submit(TimePoint Now, const StoredTask &Stored,
+                          RunLimit RunUntil) {
   JobRequest Request;
   Request.m_Id = Stored.task().str();
   Request.m_Policy = Stored.m_Policy;
@@ -16,7 +17,7 @@
   Request.m_Steps.front().m_Count = 1;
   Request.m_TimeLeftMs = m_Parameters.m_StoredDeadlineMs;
   std::string Id = Request.m_Id;
-  auto Owned = makeJob(Now, std::move(Request));
+  auto Owned = makeJob(Now, std::move(Request), std::move(RunUntil));
   ActiveJob &Job = *Owned;
   Job.m_Stored = true;
   Job.m_StoredNumber = Stored.m_Number;
--- a/Source/Jobs/WorkerRegistry.cpp
+++ b/Source/Jobs/WorkerRegistry.cpp
@@ -57,6 +57,7 @@
   for (auto &[Id, Worker] : m_Workers) {
     if (Worker.m_Spec.m_Service != Requirements.m_Service ||
         !Worker.isAvailable(Now) ||
+        Worker.m_LeaseEnd > Requirements.m_RunUntil ||
         !Step.m_TaskResources.fitsInto(Worker.m_Free))
       continue;
     bool IsForOthers = Worker.m_SetAside && Id != Requirements.m_SetAsideWorker;
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -96,7 +96,7 @@
     return;
   It->second.m_PartitionId = Msg.m_Claim.m_PartitionId;
   It->second.m_RunUntil = std::make_shared<TimePoint>(RunUntil);
-  m_Effects.m_Start(Msg.m_Task);
+  m_Effects.m_Start(Msg.m_Task, It->second.m_RunUntil);
 }
 
 void StoredRuns::confirmed(const std::string &Keeper,
@@ -111,12 +111,6 @@
       *Found->second.m_RunUntil = std::max(*Found->second.m_RunUntil, RunUntil);
 }
 
-std::shared_ptr<const TimePoint>
-StoredRuns::runUntil(const StoredRun &Run) const {
-  auto Found = m_Runs.find({Run.m_Task, Run.m_Number});
-  return Found == m_Runs.end() ? nullptr : Found->second.m_RunUntil;
-}
-
 void StoredRuns::stopUnconfirmed(TimePoint Now) {
   std::vector<TaskRef> Stopped;
   for (auto &[Key, OwnedRun] : m_Runs) {
--- a/Tests/Jobs/ModelWorker.h
+++ b/Tests/Jobs/ModelWorker.h
@@ -87,9 +87,14 @@
   /// Returns the highest token that it has seen.
   FencingToken token() const { return m_Token; }
   /// Begins to count renewals, and leases in them, anew.
-  void resetCounts() { m_Renewals = m_Leases = 0; }
+  void resetCounts() {
+    m_Renewals = m_Leases = 0;
+    m_LongestLeaseMs = 0;
+  }
   std::size_t renewals() const { return m_Renewals; }
   std::size_t leases() const { return m_Leases; }
+  /// Returns the longest lease asked for, counted from its order.
+  std::int64_t longestLeaseMs() const { return m_LongestLeaseMs; }
   /// Returns how many ends the owner has not acknowledged.
   std::size_t keptEnds() const { return m_Ends.size(); }
 
@@ -155,6 +160,8 @@
     RenewReply Reply;
     ++m_Renewals;
     m_Leases += Order.m_LeaseUntilMs ? 1 : 0;
+    m_LongestLeaseMs = std::max(
+        m_LongestLeaseMs, Order.m_LeaseUntilMs.value_or(clockMs()) - clockMs());
     if (isFenced(Order.m_Token)) {
       Reply.m_Answer = OrderAnswer::Fenced;
       return Reply;
@@ -198,6 +205,7 @@
   std::uint64_t m_LastSequence = 0;
   std::size_t m_Renewals = 0;
   std::size_t m_Leases = 0; ///< Renewals with a lease.
+  std::int64_t m_LongestLeaseMs = 0;
 };
 
 } // namespace auburnhub
--- a/Tests/Node/ShardHostTest.cpp
+++ b/Tests/Node/ShardHostTest.cpp
@@ -25,7 +25,6 @@
     Events.m_StoredTaskEnded = [this](const StoredTaskEnded &Ended) {
       m_StoredEnds.push_back(Ended.m_EndKind);
     };
-    Events.m_StoredRunUntil = [this](const StoredRun &) { return m_RunUntil; };
     Events.m_StrayEnd = [](const std::string &, const TaskRef &, std::uint32_t,
                            RunEnd) { return false; };
     Events.m_Fenced = [](const ShardId &) {};
@@ -48,9 +47,10 @@
     waitUntil([this] { return m_Host->freeSlots() > 0; });
   }
 
-  void submitJob(double TimeLeftMs = 50, double TargetLatencyMs = 60) {
+  static JobRequest request(const std::string &Id, double TimeLeftMs,
+                            double TargetLatencyMs) {
     JobRequest Request;
-    Request.m_Id = m_Task.m_Job;
+    Request.m_Id = Id;
     Request.m_Policy = {"certify", "tile-orders", 0, 1, 1.6, TargetLatencyMs};
     Request.m_TimeLeftMs = TimeLeftMs;
     JobStep Step;
@@ -58,7 +58,12 @@
     Step.m_TaskResources = {6000, 64, 0};
     Step.m_EstimatedMs = 10;
     Request.m_Steps.push_back(Step);
-    m_Host->submit(Request, TimePoint::max());
+    return Request;
+  }
+
+  void submitJob(double TimeLeftMs = 50, double TargetLatencyMs = 60) {
+    m_Host->submit(request(m_Task.m_Job, TimeLeftMs, TargetLatencyMs),
+                   TimePoint::max());
   }
 
   void submitStoredTask() {
@@ -68,7 +73,7 @@
     Task.m_Policy = {"certify", "tile-orders", 0, 1, 1.6, 60};
     Task.m_Step.m_Count = 1;
     Task.m_Step.m_TaskResources = {6000, 64, 0};
-    m_Host->submit(Task);
+    m_Host->submit(Task, m_RunUntil);
   }
 
   template <typename Condition> void waitUntil(Condition IsTrue) {
@@ -138,6 +143,21 @@
   BOOST_TEST(!m_Worker.isRunning(m_StoredTask));
 }
 
+// Guards against a run that begins late on a worker with a longer lease.
+BOOST_AUTO_TEST_CASE(GrantsNoLeaseBeyondTheLimitOfAWaitingTask) {
+  assignWorker();
+  submitJob(60000, 100000);
+  waitUntil([this] { return m_Worker.isRunning(m_Task); });
+  JobRequest Request = request("waiting", 60000, 100000);
+  Request.m_Steps.front().m_TaskResources = {12000, 64, 0};
+  TimePoint Limit = addMs(EventLoop::now(), 1000);
+  m_Host->submit(Request, Limit);
+  m_Settings.m_LeaseMs = 60000;
+  m_Worker.resetCounts();
+  waitUntil([this] { return m_Worker.leases() > 2; });
+  BOOST_TEST(m_Worker.longestLeaseMs() < 1000);
+}
+
 // Guards against a job that is submitted again and waits for runs that have
 // ended already.
 BOOST_AUTO_TEST_CASE(CompletesAJobThatWasCancelledAndSubmittedAgain) {
--- a/Tests/Node/StoredRunsQueryTest.cpp
+++ b/Tests/Node/StoredRunsQueryTest.cpp
@@ -31,7 +31,8 @@
 
   std::vector<StoredJobMessage> m_Sent;
   StoredRuns m_Runs{1,
-                    {[](const StoredTask &) {}, [](const TaskRef &) {},
+                    {[](const StoredTask &, const RunLimit &) {},
+                     [](const TaskRef &) {},
                      [](const std::string &, const StoredEndConfirmed &) {},
                      [this](const std::string &, const StoredJobMessage &Msg) {
                        m_Sent.push_back(Msg);
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -41,7 +41,7 @@
   int m_Acknowledged = 0;
   StoredRuns m_Runs{
       1,
-      {[](const StoredTask &) {}, [](const TaskRef &) {},
+      {[](const StoredTask &, const RunLimit &) {}, [](const TaskRef &) {},
        [this](const std::string &, const StoredEndConfirmed &) {
          ++m_Acknowledged;
        },
@@ -107,10 +107,14 @@
   const LedgerClaim m_Claim{0, 2};
   const StoredRun m_Run{{"a", 0, 0}, 1};
   int m_Started = 0;
+  RunLimit m_RunUntil; ///< Of the run that was started last.
   int m_Stopped = 0;
   int m_Refused = 0;
   StoredRuns m_Runs{1,
-                    {[this](const StoredTask &) { ++m_Started; },
+                    {[this](const StoredTask &, const RunLimit &RunUntil) {
+                       ++m_Started;
+                       m_RunUntil = RunUntil;
+                     },
                      [this](const TaskRef &) { ++m_Stopped; },
                      [](const std::string &, const StoredEndConfirmed &) {},
                      [this](const std::string &, const StoredJobMessage &Msg) {
@@ -130,13 +134,13 @@
 BOOST_AUTO_TEST_CASE(IsStoppedALeaseBeforeItsLimit) {
   BOOST_TEST(!isStoppedAt(1500));
   BOOST_TEST(isStoppedAt(StoredRunLimitMs - 1030));
-  BOOST_TEST((*m_Runs.runUntil(m_Run) == addMs(m_Begin, StoredRunLimitMs)));
+  BOOST_TEST((*m_RunUntil == addMs(m_Begin, StoredRunLimitMs)));
 }
 
 BOOST_AUTO_TEST_CASE(GoesOnWhenTheKeeperIsConfirmedAgain) {
   confirm(m_Claim, {m_Run});
   BOOST_TEST(!isStoppedAt(2200));
-  BOOST_TEST((*m_Runs.runUntil(m_Run) == addMs(m_Later, StoredRunLimitMs)));
+  BOOST_TEST((*m_RunUntil == addMs(m_Later, StoredRunLimitMs)));
 }
 
 BOOST_AUTO_TEST_CASE(GoesOnWhenTheNextKeeperListsIt) {
@@ -164,7 +168,7 @@
 
 BOOST_AUTO_TEST_CASE(HasNoLimitIfTheKeeperNeverStatesAConfirmation) {
   order(TimePoint::max(), 2);
-  BOOST_TEST((*m_Runs.runUntil({m_Run.m_Task, 2}) == TimePoint::max()));
+  BOOST_TEST((*m_RunUntil == TimePoint::max()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Node/StrayRunEndTest.cpp
+++ b/Tests/Node/StrayRunEndTest.cpp
@@ -15,7 +15,7 @@
   StoredRun m_Run{{"a", 0, 0}, 1};
   StoredRuns m_Runs{
       1,
-      {[](const StoredTask &) {}, [](const TaskRef &) {},
+      {[](const StoredTask &, const RunLimit &) {}, [](const TaskRef &) {},
        [this](const std::string &Worker, const StoredEndConfirmed &) {
          m_Acknowledged.insert(Worker);
        },
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -22,6 +22,11 @@
 /// Identifies one run of a task at its owner; never reused.
 using RunId = std::uint64_t;
 
+/// The time by which the runs of a job must have ended, whatever happens to
+/// their workers. It may rise while the job is unfinished. Null if there is no
+/// limit.
+using RunLimit = std::shared_ptr<const TimePoint>;
+
 /// Order: start a run on a worker.
 struct StartRun {
   RunId m_Run = 0;
@@ -35,6 +40,7 @@
   double m_WaitedMs = 0;        ///< Since the job was submitted.
   bool m_Stored = false; ///< The worker must keep the end until it is stored.
   bool m_RunsAlone = false; ///< Without other runs on the worker.
+  RunLimit m_RunUntil;
 };
 
 /// Order: stop a run. The scheduler keeps the run's resources reserved until
@@ -103,6 +109,10 @@
 /// worker, and such tasks use at most a share of the workers of their service
 /// at a time. If no worker is idle, the one with the fewest runs is set aside.
 ///
+/// A lease covers all runs of a worker, and is never shortened. A task
+/// therefore starts only on a worker whose lease ends by the limit of the
+/// task's runs.
+///
 /// A job may be submitted again under its id at any time. A task then starts
 /// only once the runs of the same task of earlier submissions have ended.
 class JobScheduler {
@@ -117,6 +127,8 @@
   /// a process that was paused may have missed that a worker has shrunk.
   void refreshWorkers(TimePoint Now, TimePoint ReadAt);
   void setReachable(TimePoint Now, const std::string &Worker, bool Reachable);
+  /// The worker may hold a lease until this time.
+  void setLeaseEnd(const std::string &Worker, TimePoint LeaseEnd);
   /// Gives the worker no more runs. The end of each of its runs must still be
   /// reported with runEnded().
   void removeWorker(const std::string &Worker);
@@ -128,17 +140,22 @@
   // Jobs.
   /// Reports the end of the job with one JobFinished. An unfinished job with
   /// the same id is cancelled first; its runs are awaited.
-  void submit(TimePoint Now, JobRequest Request);
+  void submit(TimePoint Now, JobRequest Request, RunLimit RunUntil = nullptr);
   /// Runs one task of a stored job once and reports its end with one
   /// StoredTaskEnded. A run that has started ends only when its end is reported
   /// with runEnded() or runAbandoned().
-  void submit(TimePoint Now, const StoredTask &Task);
+  void submit(TimePoint Now, const StoredTask &Task,
+              RunLimit RunUntil = nullptr);
   /// Cancels a task of a stored job; a run that has started is stopped. Unknown
   /// tasks are ignored.
   void cancel(TimePoint Now, const TaskRef &StoredTask);
   /// Cancels a job and stops its runs. Returns whether the job was known.
   bool cancel(TimePoint Now, const std::string &Job);
   bool knows(const std::string &Job) const { return m_Jobs.contains(Job); }
+  /// Returns the earliest limit of the runs of waiting tasks; the maximum if
+  /// none waits or has a limit. A lease that ends by then keeps no task
+  /// waiting.
+  TimePoint waitingRunLimit() const;
   /// Returns whether runs of finished submissions of the job may be active.
   bool hasEarlierRuns(TimePoint Now, const std::string &Job) const {
     return m_EarlierRuns.mayBeActive(Now, Job);
@@ -199,6 +216,7 @@
     TimePoint m_Submitted;
     TimePoint m_WaitUntil; ///< Refused if no task has started by then.
     TimePoint m_Deadline;  ///< Deadline of the caller.
+    RunLimit m_RunUntil;
     std::optional<TimePoint> m_FirstStart;
     double m_ExpectedMs = 0; ///< Run time of its longest task at speed 1.
     double m_ObjectiveMs = 0;
@@ -289,7 +307,8 @@
                         const WorkerIncarnation &LostWith = {});
   std::uint32_t tasksOfStepOn(const ActiveTask &Task,
                               const std::string &Worker) const;
-  std::unique_ptr<ActiveJob> makeJob(TimePoint Now, JobRequest Request) const;
+  std::unique_ptr<ActiveJob> makeJob(TimePoint Now, JobRequest Request,
+                                     RunLimit RunUntil) const;
   void stopRun(ActiveRun &Run, RunId Id, JobReason Reason);
   bool areWorkersOutdated(TimePoint Now) const;
   bool isStalled(const ActiveRun &Run) const;
--- a/include/auburnhub/Jobs/WorkerRegistry.h
+++ b/include/auburnhub/Jobs/WorkerRegistry.h
@@ -26,6 +26,7 @@
   EndpointHealth m_Health;
   TimePoint m_EjectedUntil;
   TimePoint m_PausedUntil;   ///< No new runs until then, after a refusal.
+  TimePoint m_LeaseEnd;      ///< Latest end of the lease that it may hold.
   std::size_t m_Running = 0; ///< Active runs ordered by the scheduler.
   /// Set aside for a task that runs alone; gets no other new runs.
   bool m_SetAside = false;
@@ -44,6 +45,8 @@
   /// Returns how many tasks of the step already run on a worker.
   std::function<std::uint32_t(const std::string &)> m_TasksOnWorker;
   bool m_RunsAlone = false; ///< The worker must have no runs.
+  /// The lease of the worker must end by this time.
+  TimePoint m_RunUntil = TimePoint::max();
   /// The worker that is set aside for this task, if any.
   std::string_view m_SetAsideWorker;
 };
--- a/include/auburnhub/Jobs/WorkerSession.h
+++ b/include/auburnhub/Jobs/WorkerSession.h
@@ -94,6 +94,9 @@
   /// Returns the time after which no lease may end, because callers of the
   /// worker's runs may have submitted their jobs elsewhere; may be empty.
   std::function<TimePoint()> m_LeaseLimit;
+  /// The worker may hold a lease until LeaseEnd, given by this owner or an
+  /// earlier one; may be empty.
+  std::function<void(TimePoint LeaseEnd)> m_LeaseGiven;
   /// Another owner has a higher token; the session sends no more orders.
   std::function<void()> m_Fenced;
 };
@@ -167,9 +170,6 @@
   /// Returns when the worker last answered.
   TimePoint lastAnswer() const { return m_LastAnswer; }
   const WorkerSpec &spec() const { return m_Spec; }
-  /// Returns the latest end of the leases that the worker may have been granted
-  /// in its present incarnation, by this owner or an earlier one.
-  TimePoint leaseGrantedUntil() const { return m_LeaseGrantedUntil; }
 
   static const StateChart::Vocabulary &vocabulary();
 
@@ -206,7 +206,7 @@
   bool isPathSlow() const;
   /// Returns how long to wait for an answer to an attempt, counted from 1.
   EventLoop::Duration retryDelay(int Attempt) const;
-  /// The worker may be granted a lease of up to LeaseMs from now on.
+  /// The worker may get a lease of LeaseMs from now on.
   void extendLeaseEnd(TimePoint Now, double LeaseMs);
   void fireEvent(std::string_view Event);
   void sendStart(RunId Id);
@@ -273,7 +273,6 @@
   std::int64_t m_ClockMs = 0; ///< The worker's clock at m_ClockAt.
   TimePoint m_ClockAt;
   TimePoint m_LeaseEnd; ///< Latest end of all leases requested so far.
-  TimePoint m_LeaseGrantedUntil;
   std::int64_t m_IncarnationStartMs = 0;
   std::uint64_t m_LastEndSeen = 0; ///< Highest sequence number listed.
   using KeptEnds = std::map<std::uint64_t, std::pair<TaskRef, std::uint32_t>>;
--- a/include/auburnhub/Jobs/WorkerSessionImpl.h
+++ b/include/auburnhub/Jobs/WorkerSessionImpl.h
@@ -139,9 +139,9 @@
 
 template <WorkerTransport Transport>
 void WorkerSession<Transport>::extendLeaseEnd(TimePoint Now, double LeaseMs) {
-  m_LeaseGrantedUntil =
-      std::max(m_LeaseGrantedUntil,
-               addMs(Now, LeaseMs * (1 + m_Settings.m_LeaseClockShare)));
+  if (m_Events.m_LeaseGiven)
+    m_Events.m_LeaseGiven(
+        addMs(Now, LeaseMs * (1 + m_Settings.m_LeaseClockShare)));
   // A worker that has restarted unnoticed may grant more than it was asked for.
   m_LeaseEnd = std::max(m_LeaseEnd, addMs(Now, m_Settings.maxLeaseMs()));
 }
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -53,20 +53,18 @@
       m_Events(std::move(Events)),
       m_ShardProber(Orders, [this] { scheduleOwnershipUpdate(); }),
       m_Shards(m_Settings.m_Name, m_Settings.m_DataCentre, m_Settings.m_Weight),
-      m_Host(
-          Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
-          m_Settings.m_Jobs, Metrics,
-          {[this](const JobFinished &Finished) { onJobFinished(Finished); },
-           [this](const StoredTaskEnded &Ended) {
-             m_StoredRuns.taskEnded(Ended);
-           },
-           [this](const StoredRun &Run) { return m_StoredRuns.runUntil(Run); },
-           [this](const std::string &Worker, const TaskRef &Task,
-                  std::uint32_t Number, RunEnd End) {
-             return m_StoredRuns.strayRunEnded(Worker, Task, Number, End);
-           },
-           [this](const ShardId &Shard) { onFenced(Shard); },
-           [this] { onHostChanged(); }}),
+      m_Host(Loop, Orders, Charts.m_WorkerSession, m_Settings.m_Session,
+             m_Settings.m_Jobs, Metrics,
+             {[this](const JobFinished &Finished) { onJobFinished(Finished); },
+              [this](const StoredTaskEnded &Ended) {
+                m_StoredRuns.taskEnded(Ended);
+              },
+              [this](const std::string &Worker, const TaskRef &Task,
+                     std::uint32_t Number, RunEnd End) {
+                return m_StoredRuns.strayRunEnded(Worker, Task, Number, End);
+              },
+              [this](const ShardId &Shard) { onFenced(Shard); },
+              [this] { onHostChanged(); }}),
       m_Router(Loop, m_Settings.m_DataCentre, CallNumbers::ofNewProcess(),
                Metrics,
                {[this](const std::string &Owner, std::uint64_t Call,
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -41,7 +41,9 @@
 
 template <WorkerTransport Transport, JobLog Log>
 StoredRunsEffects Node<Transport, Log>::storedRunsEffects() {
-  return {[this](const StoredTask &Task) { m_Host.submit(Task); },
+  return {[this](const StoredTask &Task, RunLimit RunUntil) {
+            m_Host.submit(Task, std::move(RunUntil));
+          },
           [this](const TaskRef &Task) { m_Host.cancel(Task); },
           [this](const std::string &Worker, const StoredEndConfirmed &End) {
             m_Host.acknowledge(Worker, End);
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -26,10 +26,6 @@
 struct ShardHostEvents {
   std::function<void(const JobFinished &)> m_JobFinished;
   std::function<void(const StoredTaskEnded &)> m_StoredTaskEnded;
-  /// Returns the time by which the run of a stored task must have ended, which
-  /// may rise later; null if there is no limit.
-  std::function<std::shared_ptr<const TimePoint>(const StoredRun &)>
-      m_StoredRunUntil;
   /// A worker lists the end of a run that was not ordered by this host. Returns
   /// whether the worker must retain the end until acknowledge().
   std::function<bool(const std::string &Worker, const TaskRef &,
@@ -71,8 +67,7 @@
   void submit(JobRequest Request, TimePoint RunUntil);
   /// Lets runs of the job be active until a later time.
   void extend(const std::string &Job, TimePoint RunUntil);
-  /// The run must have ended by ShardHostEvents::m_StoredRunUntil.
-  void submit(const StoredTask &Task);
+  void submit(const StoredTask &Task, RunLimit RunUntil);
   /// Returns whether the job was known.
   bool cancel(const std::string &Job);
   void cancel(const TaskRef &StoredTask);
@@ -109,8 +104,6 @@
   void dropWorker(const std::string &Worker);
   void scheduleEffects();
   void applyEffects();
-  /// Returns when the run must have ended, or null if it has no limit.
-  std::shared_ptr<const TimePoint> runUntil(const StartRun &Order) const;
   void execute(const StartRun &Order);
   void execute(const StopRun &Order);
   void execute(const JobFinished &Finished);
@@ -140,9 +133,7 @@
     TimePoint m_OrderedAt;
     double m_ExpectedMs = 0;
     double m_LastPercent = 0;
-    /// When the run must have ended, whatever happens to its worker; shared by
-    /// the runs of one submission. Null if there is no limit.
-    std::shared_ptr<const TimePoint> m_RunUntil;
+    RunLimit m_RunUntil;
   };
 
   EventLoop &m_Loop;
@@ -159,6 +150,8 @@
   std::map<std::string, FencingToken> m_MinTokens;
   std::map<RunId, RunRecord> m_Runs;
   std::map<std::string, std::shared_ptr<TimePoint>> m_RunUntil; ///< By job.
+  /// See JobScheduler::waitingRunLimit().
+  TimePoint m_WaitingRunLimit = TimePoint::max();
   bool m_EffectsPosted = false;
   EventLoop::Timer m_Timer;
   std::optional<TimePoint> m_TimerDueAt;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -124,6 +124,9 @@
     return m_Events.m_StrayEnd(Worker, Task, Number, End);
   };
   Events.m_LeaseLimit = [this, Worker] { return leaseLimit(Worker); };
+  Events.m_LeaseGiven = [this, Worker](TimePoint LeaseEnd) {
+    m_Scheduler.setLeaseEnd(Worker, LeaseEnd);
+  };
   Events.m_Fenced = [this, Shard] {
     // Posted, because the handler destroys the session that calls this.
     m_Loop.post([this, Shard] { m_Events.m_Fenced(Shard); });
@@ -206,21 +209,30 @@
   // The end of an earlier submission comes first.
   m_Scheduler.cancel(EventLoop::now(), Request.m_Id);
   applyEffects();
-  m_RunUntil[Request.m_Id] = std::make_shared<TimePoint>(RunUntil);
-  m_Scheduler.submit(EventLoop::now(), std::move(Request));
+  auto Limit = std::make_shared<TimePoint>(RunUntil);
+  m_RunUntil[Request.m_Id] = Limit;
+  m_Scheduler.submit(EventLoop::now(), std::move(Request), std::move(Limit));
   applyEffects();
 }
 
 template <WorkerTransport Transport>
 void ShardHost<Transport>::extend(const std::string &Job, TimePoint RunUntil) {
   auto Found = m_RunUntil.find(Job);
-  if (Found != m_RunUntil.end())
-    *Found->second = std::max(*Found->second, RunUntil);
+  if (Found == m_RunUntil.end() || *Found->second >= RunUntil)
+    return;
+  bool IsAwaited = *Found->second <= m_WaitingRunLimit;
+  *Found->second = RunUntil;
+  // Tasks that no lease allowed to start may start now.
+  if (IsAwaited) {
+    m_Scheduler.advance(EventLoop::now());
+    scheduleEffects();
+  }
 }
 
 template <WorkerTransport Transport>
 TimePoint ShardHost<Transport>::leaseLimit(const std::string &Worker) const {
-  TimePoint Result = TimePoint::max();
+  // A waiting task may be the next one to start on the worker.
+  TimePoint Result = m_WaitingRunLimit;
   auto Found = m_OwnedWorkers.find(Worker);
   if (Found == m_OwnedWorkers.end())
     return Result;
@@ -233,8 +245,8 @@
 }
 
 template <WorkerTransport Transport>
-void ShardHost<Transport>::submit(const StoredTask &Task) {
-  m_Scheduler.submit(EventLoop::now(), Task);
+void ShardHost<Transport>::submit(const StoredTask &Task, RunLimit RunUntil) {
+  m_Scheduler.submit(EventLoop::now(), Task, std::move(RunUntil));
   scheduleEffects();
 }
 
@@ -301,6 +313,7 @@
 }
 
 template <WorkerTransport Transport> void ShardHost<Transport>::applyEffects() {
+  m_WaitingRunLimit = m_Scheduler.waitingRunLimit();
   std::vector<JobEffect> Effects = m_Scheduler.takeEffects();
   for (const JobEffect &Effect : Effects)
     std::visit([this](const auto &Order) { this->execute(Order); }, Effect);
@@ -309,15 +322,6 @@
   m_Events.m_Changed();
 }
 
-template <WorkerTransport Transport>
-std::shared_ptr<const TimePoint>
-ShardHost<Transport>::runUntil(const StartRun &Order) const {
-  if (Order.m_Stored)
-    return m_Events.m_StoredRunUntil({Order.m_Task, Order.m_Number});
-  auto Limit = m_RunUntil.find(Order.m_Task.m_Job);
-  return Limit == m_RunUntil.end() ? nullptr : Limit->second;
-}
-
 template <WorkerTransport Transport>
 void ShardHost<Transport>::execute(const StartRun &Order) {
   auto Found = m_OwnedWorkers.find(Order.m_Worker);
@@ -327,17 +331,6 @@
     scheduleEffects();
     return;
   }
-  std::shared_ptr<const TimePoint> RunUntil = runUntil(Order);
-  if (Order.m_Stored && RunUntil &&
-      Found->second.m_Session->leaseGrantedUntil() > *RunUntil) {
-    // A lease covers all runs of a worker, and is never shortened.
-    m_Log.info("run_would_outlast_its_limit",
-               {{"task", Order.m_Task.str()}, {"worker", Order.m_Worker}});
-    m_Scheduler.runRefused(EventLoop::now(), Order.m_Run,
-                           RefusalReason::Expired);
-    scheduleEffects();
-    return;
-  }
   m_Starts.add();
   m_StartLatency.add(Order.m_WaitedMs / 1000);
   RunRecord &Added = m_Runs[Order.m_Run];
@@ -346,7 +339,7 @@
            EventLoop::now(),
            Order.m_ExpectedMs,
            0,
-           std::move(RunUntil)};
+           Order.m_RunUntil};
   m_Log.info("run_ordered", {{"job", Order.m_Task.m_Job},
                              {"task", Order.m_Task.str()},
                              {"run", Order.m_Number},
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -17,7 +17,7 @@
 
 /// Callbacks by which StoredRuns acts on its node.
 struct StoredRunsEffects {
-  std::function<void(const StoredTask &)> m_Start;
+  std::function<void(const StoredTask &, RunLimit)> m_Start;
   std::function<void(const TaskRef &)> m_Stop;
   /// Acknowledges the end of a run to its worker, which may then forget it.
   std::function<void(const std::string &Worker, const StoredEndConfirmed &)>
@@ -64,9 +64,6 @@
   void keeperLost(const std::string &Keeper);
   /// Stops the runs that have not been confirmed for some time.
   void stopUnconfirmed(TimePoint Now);
-  /// Returns the time by which a run must have ended, which rises while it is
-  /// confirmed; null if the run is unknown.
-  std::shared_ptr<const TimePoint> runUntil(const StoredRun &Run) const;
 
   // From workers.
   /// A run that this owner ordered has ended: reports it to the keeper.
