Node: Take no confirmation without a time, advance waiting jobs once

Such a confirmation is neither sent nor counted now. And each call that was seen to wait made the scheduler advance, also if no task waited.

IsStoppedThoughAConfirmationWithoutATimeListsIt fails without the check.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -102,7 +102,7 @@
 void StoredRuns::confirmed(const std::string &Keeper,
                            const StoredRunsConfirmed &Msg,
                            TimePoint ConfirmedAt) {
-  if (!acceptClaim(Keeper, Msg.m_Claim))
+  if (!acceptClaim(Keeper, Msg.m_Claim) || ConfirmedAt == TimePoint::max())
     return;
   TimePoint RunUntil = runLimit(ConfirmedAt);
   for (const StoredRun &Confirmed : Msg.m_Runs)
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -159,6 +159,11 @@
   BOOST_TEST(isStoppedAt(2200));
 }
 
+BOOST_AUTO_TEST_CASE(IsStoppedThoughAConfirmationWithoutATimeListsIt) {
+  m_Runs.confirmed("keeper", {m_Claim, 0, {m_Run}}, TimePoint::max());
+  BOOST_TEST(isStoppedAt(2200));
+}
+
 BOOST_AUTO_TEST_CASE(IsNotStarted) {
   BOOST_TEST(m_Started == 1);
   order(addMs(m_Begin, -StoredRunLimitMs), 2);
--- a/Tests/Platform/RestartedCallerTest.cpp
+++ b/Tests/Platform/RestartedCallerTest.cpp
@@ -34,6 +34,7 @@
       waitForLogField(Node, R"("to":"serving")", "ledger_state", "part");
     store().setResponseMode(FakeStore::ResponseMode::Holding);
     std::vector<std::shared_ptr<Reply>> Lost;
+    Lost.reserve(Calls);
     for (int Index = 0; Index < Calls; ++Index)
       Lost.push_back(submitStored(0, jobId(Index), 1));
     wait(300);
@@ -56,6 +57,7 @@
         R"({"spec":"text","steps":[{"count":1,"cpu":1000,"mem_mb":64,)"
         R"("estimated_ms":20}]})";
     std::vector<std::shared_ptr<Reply>> Replies;
+    Replies.reserve(Calls);
     for (int Index = 0; Index < Calls; ++Index)
       Replies.push_back(call(0, Method, Prefix + jobId(FirstJob + Index),
                              Method == "POST" ? Body : "", DeadlineMs));
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -378,6 +378,8 @@
 void LedgerPartition<Log>::confirmRuns(const std::string &Owner,
                                        std::vector<StoredRun> Runs) {
   double ConfirmedAtMs = m_Effects.m_ClockOf(Owner, m_Effects.m_ConfirmedAt());
+  if (ConfirmedAtMs == 0)
+    return;
   m_Effects.m_Send(
       Owner, StoredRunsConfirmed{m_Claim, ConfirmedAtMs, std::move(Runs)});
 }
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -153,6 +153,7 @@
   /// See JobScheduler::waitingRunLimit().
   TimePoint m_WaitingRunLimit = TimePoint::max();
   bool m_EffectsPosted = false;
+  bool m_MustAdvance = false; ///< Before the effects are applied.
   EventLoop::Timer m_Timer;
   std::optional<TimePoint> m_TimerDueAt;
   Counter &m_Starts;
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -220,11 +220,10 @@
   auto Found = m_RunUntil.find(Job);
   if (Found == m_RunUntil.end() || *Found->second >= RunUntil)
     return;
-  bool IsAwaited = *Found->second <= m_WaitingRunLimit;
   *Found->second = RunUntil;
-  // Tasks that no lease allowed to start may start now.
-  if (IsAwaited) {
-    m_Scheduler.advance(EventLoop::now());
+  // A task that waits for a worker whose lease ends early enough may start now.
+  if (m_WaitingRunLimit != TimePoint::max()) {
+    m_MustAdvance = true;
     scheduleEffects();
   }
 }
@@ -308,6 +307,8 @@
     return;
   m_Loop.post([this] {
     m_EffectsPosted = false;
+    if (std::exchange(m_MustAdvance, false))
+      m_Scheduler.advance(EventLoop::now());
     applyEffects();
   });
 }
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -51,6 +51,7 @@
            TimePoint ConfirmedAt);
   /// The log has confirmed the keeper at ConfirmedAt: the runs that it lists
   /// may continue.
+  /// Ignored if ConfirmedAt is TimePoint::max().
   void confirmed(const std::string &Keeper, const StoredRunsConfirmed &Msg,
                  TimePoint ConfirmedAt);
   /// Reports to the keeper that the task is not run here.
