Node: Join the group again at once after a late answer

After an outage of the store, jobs were not accepted for 0.6 s longer than need be.

Cause: the interval to the next join call was counted from the answer of the last one, though the membership counts from the call. An answer that came after 1.35 s opened partitions which were given up at the next check, 15 ms later, and the keeper then left the group and joined it anew.

The interval counts from the call now, and an answer that is older than a membership lasts opens nothing. Systems without stored jobs don't join the group.

--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -4,6 +4,7 @@
 #include "auburnhub/Node/JobKeeper.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace auburnhub {
@@ -66,8 +67,15 @@
     TimePoint SentAt, const absl::StatusOr<JobLogMembership> &Membership) {
   if (m_Draining)
     return;
-  double DelayMs = m_Settings.m_JoinIntervalMs;
-  if (Membership.ok()) {
+  // Counted from the call, so that a late answer does not delay the next one.
+  double TookMs = millisecondsBetween(SentAt, EventLoop::now());
+  double DelayMs = std::max(0.0, m_Settings.m_JoinIntervalMs - TookMs);
+  if (Membership.ok() && TookMs >= m_Settings.m_MembershipTimeoutMs) {
+    // The membership may be over again.
+    m_Log.info("membership_answer_late",
+               {{"generation", Membership->m_Generation},
+                {"took_ms", std::round(TookMs)}});
+  } else if (Membership.ok()) {
     if (std::exchange(m_JoinFailed, false))
       m_Log.info("membership_regained",
                  {{"generation", Membership->m_Generation}});
