--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -61,7 +61,7 @@
 TimePoint JobScheduler::waitingRunLimit() const {
   TimePoint Result = TimePoint::max();
   for (const auto &[Id, Job] : m_Jobs)
-    if (Job->m_Stored && Job->m_Waiting > 0 && Job->m_RunUntil)
+    if (Job->m_Waiting > 0 && Job->m_RunUntil)
       Result = std::min(Result, *Job->m_RunUntil);
   return Result;
 }
@@ -325,7 +325,7 @@
   Requirements.m_Step = &Step;
   Requirements.m_ExpectedMs = expectedMs(Job.m_Request.m_Policy, Step);
   Requirements.m_AvoidedWorkers = &Task.m_AvoidedWorkers;
-  if (Job.m_Stored && Job.m_RunUntil)
+  if (Job.m_RunUntil)
     Requirements.m_RunUntil = *Job.m_RunUntil;
   Requirements.m_TasksOnWorker = [&](const std::string &Worker) {
     return tasksOfStepOn(Task, Worker);
--- a/Tests/Node/ShardHostTest.cpp
+++ b/Tests/Node/ShardHostTest.cpp
@@ -66,13 +66,13 @@
                    TimePoint::max());
   }
 
-  void submitStoredTask(std::int64_t CpuMillis = 6000) {
+  void submitStoredTask() {
     StoredTask Task;
     Task.m_Job = m_StoredTask.m_Job;
     Task.m_Number = 1;
     Task.m_Policy = {"certify", "tile-orders", 0, 1, 1.6, 60};
     Task.m_Step.m_Count = 1;
-    Task.m_Step.m_TaskResources = {CpuMillis, 64, 0};
+    Task.m_Step.m_TaskResources = {6000, 64, 0};
     m_Host->submit(Task, m_RunUntil);
   }
 
@@ -148,8 +148,10 @@
   assignWorker();
   submitJob(60000, 100000);
   waitUntil([this] { return m_Worker.isRunning(m_Task); });
-  *m_RunUntil = addMs(EventLoop::now(), 1000);
-  submitStoredTask(/*CpuMillis=*/12000);
+  JobRequest Request = request("waiting", 60000, 100000);
+  Request.m_Steps.front().m_TaskResources = {12000, 64, 0};
+  TimePoint Limit = addMs(EventLoop::now(), 1000);
+  m_Host->submit(Request, Limit);
   m_Settings.m_LeaseMs = 60000;
   m_Worker.resetCounts();
   waitUntil([this] { return m_Worker.leases() > 2; });
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -109,9 +109,9 @@
 /// worker, and such tasks use at most a share of the workers of their service
 /// at a time. If no worker is idle, the one with the fewest runs is set aside.
 ///
-/// A lease covers all runs of a worker, and is never shortened. A stored task
+/// A lease covers all runs of a worker, and is never shortened. A task
 /// therefore starts only on a worker whose lease ends by the limit of the
-/// task's runs. Other tasks start on any; see PLATFORM.md, "A gap".
+/// task's runs.
 ///
 /// A job may be submitted again under its id at any time. A task then starts
 /// only once the runs of the same task of earlier submissions have ended.
@@ -152,9 +152,9 @@
   /// Cancels a job and stops its runs. Returns whether the job was known.
   bool cancel(TimePoint Now, const std::string &Job);
   bool knows(const std::string &Job) const { return m_Jobs.contains(Job); }
-  /// Returns the earliest limit of the runs of waiting stored tasks; the
-  /// maximum if none waits or has a limit. A lease that ends by then keeps no
-  /// task waiting.
+  /// Returns the earliest limit of the runs of waiting tasks; the maximum if
+  /// none waits or has a limit. A lease that ends by then keeps no task
+  /// waiting.
   TimePoint waitingRunLimit() const;
   /// Returns whether runs of finished submissions of the job may be active.
   bool hasEarlierRuns(TimePoint Now, const std::string &Job) const {
