Review: Cut a data centre off from the store too

Change: the stand-ins put a proxy before each node's way to the store, and executors that are cut off write no entries.

--- a/review/lib-2/executor.py
+++ b/review/lib-2/executor.py
@@ -32,6 +32,7 @@
         # While set, only the holder of this fencing token reaches the
         # executor: all others are behind a partition.
         self.only_token = None
+        self.is_cut_from_store = False
 
     # One life.
 
@@ -78,7 +79,15 @@
         self.journal("entry_removed", executor=self.ident)
 
     async def send_heartbeats(self):
+        silent = 0
         while True:
+            if self.is_cut_from_store:
+                silent += 1
+                if silent == 4:
+                    self.remove_entry()
+                await asyncio.sleep(self.heartbeat_s)
+                continue
+            silent = 0
             self.sequence += 1
             self.store.put("keyed.servers", self.ident, json.dumps({
                 "service": self.service, "zone": self.zone, "version": "v1",
--- a/review/lib-2/system.py
+++ b/review/lib-2/system.py
@@ -120,6 +120,8 @@
         self.store, self.folder = store, folder
         self.ports = [free_port(host) for _ in range(3)]
         self.link = Link((host, self.ports[2])) if link else None
+        # The node's way to the store.
+        self.store_link = Link(store.server.address) if link else None
         self.process = None
 
     @property
@@ -132,8 +134,9 @@
         if override:
             command[0] = override
         if self.link:
-            if not self.link.server:
-                await self.link.start(self.host)
+            for proxy in (self.link, self.store_link):
+                if not proxy.server:
+                    await proxy.start(self.host)
             command += ["--advertise", self.link.address]
         settings = {
             "node": self.name, "role": "node", "machine_class": "front",
@@ -154,7 +157,9 @@
                 "finish_s": 14, "status_s": 120, "lease_ms": 3000,
                 "resend_ms": 1300},
             "platform": {
-                "address": self.store.address, "form": "log",
+                "address": (self.store_link.address if self.store_link
+                            else self.store.address),
+                "form": "log",
                 "writes_per_s": 800, "reads_per_s": 2000,
                 "parts": self.store.parts, "append_ms": 4.0,
                 "record_bytes": self.store.record_bytes,
@@ -280,6 +285,7 @@
         for node in self.nodes.values():
             if node.link:
                 await node.link.start(node.host)
+                await node.store_link.start(node.host)
                 seeds.append(node.link.address)
             else:
                 seeds.append("%s:%d" % (node.host, node.ports[2]))
@@ -310,12 +316,16 @@
 
     def cut_zone(self, zone, is_cut):
         """Partitions a data centre, its node and its executors, from the
-        other one; the store and clients reach both. For two nodes."""
+        other one and from the store; clients reach both. For two nodes."""
         self.note("zone_cut" if is_cut else "zone_healed", zone=zone)
         for node in self.nodes.values():
             node.link.is_cut = is_cut
+            if node.zone == zone:
+                node.store_link.is_cut = is_cut
         for executor in self.executors.values():
             executor.only_token = executor.token if is_cut else None
+            if executor.zone == zone:
+                executor.is_cut_from_store = is_cut
 
     async def keep_busy(self, node, count, cpu, mem=64, ms=400):
         """Sends jobs that need not be stored, one after the other on each of
