--- a/review/lib-2/system.py
+++ b/review/lib-2/system.py
@@ -445,11 +445,16 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
     async def run():
+        # Ends the nodes, too, if the script is told to stop.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with System(folder) as system:
             try:
                 async with asyncio.timeout(110):
                     breaches = await case(system, trouble)
-            except (CannotRun, TimeoutError) as failure:
+            except (CannotRun, TimeoutError,
+                    asyncio.CancelledError) as failure:
                 system.note("cannot_run", detail=repr(failure))
                 print("cannot run:", repr(failure))
                 return 2
