Ledger: Offer a stored task by the CPU that it needs

What callers saw: stored jobs of small tasks were answered 200 and did not start, although more than half of each worker was free and nothing else ran.

Cause: a keeper gave a task only to an owner with a free slot. Slots are counted in tasks of typical size, the mean of all tasks submitted to the owner; a worker with less room than that has none.

Evidence: in a trial with real processes on (tasks of 15,000 first, then 7,000 of each worker's 16,000 in use) none of six jobs of 1,000 had started after 5 s; the logs had no stored_task_given and no refusal for them.

Change: owners report the largest free CPU of a worker; a task goes to an owner with a slot or with a worker that has its CPU free, and one for which there is no room does not hold up smaller ones. stored_tasks_wait says why a task waits. taskPostponed() had no caller left and is removed.

--- a/Source/Jobs/JobLedger.cpp
+++ b/Source/Jobs/JobLedger.cpp
@@ -47,16 +47,22 @@
           Job.m_Record.m_Job.m_Id, TaskIndex};
 }
 
+std::int64_t JobLedger::cpuMillisOf(const LedgerJob &Job,
+                                    std::uint32_t TaskIndex) {
+  const auto &Steps = Job.m_Record.m_Job.m_Steps;
+  return Steps[taskRefOf(Job, TaskIndex).m_Step].m_TaskResources.m_CpuMillis;
+}
+
 void JobLedger::setState(LedgerJob &Job, std::uint32_t TaskIndex,
                          TaskState State, TimePoint Until) {
   LedgerTask &Task = Job.m_Tasks[TaskIndex];
   ReadyKey Key = readyKey(Job, TaskIndex);
-  m_Ready.erase(Key);
+  m_Ready.erase(cpuMillisOf(Job, TaskIndex), Key);
   m_TimedTasks.erase({Task.m_Until, Key});
   Task.m_State = State;
   Task.m_Until = Until;
   if (State == TaskState::Ready)
-    m_Ready.insert(Key);
+    m_Ready.insert(cpuMillisOf(Job, TaskIndex), Key);
   if (State == TaskState::Paused || State == TaskState::InDoubt ||
       State == TaskState::AwaitingVerdict)
     m_TimedTasks.insert({Until, Key});
--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -8,10 +8,12 @@
 /// ends of their runs.
 
 namespace auburnhub {
-std::optional<StoredTask> JobLedger::nextTask(TimePoint Now) const {
-  if (m_Ready.empty())
+std::optional<StoredTask> JobLedger::nextTask(TimePoint Now,
+                                              std::int64_t MaxCpuMillis) const {
+  const ReadyKey *First = m_Ready.first(MaxCpuMillis);
+  if (!First)
     return std::nullopt;
-  const auto &[Priority, Order, Id, TaskIndex] = *m_Ready.begin();
+  const auto &[Priority, Order, Id, TaskIndex] = *First;
   const LedgerJob &Job = *m_Jobs.at(Id);
   const JobRequest &Request = Job.m_Record.m_Job;
   TaskRef Ref = taskRefOf(Job, TaskIndex);
@@ -29,10 +31,22 @@
   return Result;
 }
 
-void JobLedger::taskStarted(TimePoint Now, const std::string &Owner) {
-  auto [Priority, Order, Id, TaskIndex] = *m_Ready.begin();
-  LedgerJob &Job = *m_Jobs.at(Id);
-  LedgerTask &Task = Job.m_Tasks[TaskIndex];
+std::int64_t JobLedger::cpuMillisOf(const TaskRef &Ref) const {
+  auto Found = m_Jobs.find(Ref.m_Job);
+  if (Found == m_Jobs.end())
+    return 0;
+  auto TaskIndex = taskIndexOf(*Found->second, Ref);
+  return TaskIndex ? cpuMillisOf(*Found->second, *TaskIndex) : 0;
+}
+
+void JobLedger::taskStarted(TimePoint Now, const TaskRef &Ref,
+                            const std::string &Owner) {
+  LedgerJob *Found = find(Ref.m_Job);
+  auto TaskIndex = Found ? taskIndexOf(*Found, Ref) : std::nullopt;
+  if (!TaskIndex)
+    return;
+  LedgerJob &Job = *Found;
+  LedgerTask &Task = Job.m_Tasks[*TaskIndex];
   Task.m_Number = nextNumber(Job, Task);
   Task.m_Reached = std::max(Task.m_Reached, Task.m_Number);
   Task.m_Reserved = 0;
@@ -40,12 +54,7 @@
   Task.m_ReportedAt = Now;
   Task.m_Owner = Owner;
   Job.m_HasStarted = true;
-  setState(Job, TaskIndex, TaskState::Running);
-}
-
-void JobLedger::taskPostponed(TimePoint Now) {
-  auto [Priority, Order, Id, TaskIndex] = *m_Ready.begin();
-  startBackoff(Now, *m_Jobs.at(Id), TaskIndex);
+  setState(Job, *TaskIndex, TaskState::Running);
 }
 
 void JobLedger::acknowledge(const ReportedEnd &End) {
--- a/Source/Jobs/WorkerRegistry.cpp
+++ b/Source/Jobs/WorkerRegistry.cpp
@@ -406,20 +406,34 @@
   }
 }
 
-std::size_t WorkerRegistry::freeSlots(TimePoint Now) const {
-  std::int64_t Total = m_Slots;
-  // Those that wake() has not made available yet.
-  std::set<std::string_view> Counted;
+std::set<const WorkerRecord *>
+WorkerRegistry::workersToWake(TimePoint Now) const {
+  std::set<const WorkerRecord *> Result;
   for (const auto &[At, Id] : m_Wakes) {
     if (At > Now)
       break;
     auto Found = m_Workers.find(Id);
-    if (Found == m_Workers.end() || !Counted.insert(Id).second)
-      continue;
-    const WorkerRecord &Worker = Found->second;
-    Total += slotsOf(Worker, Now) - Worker.m_Position.m_Slots;
+    if (Found != m_Workers.end())
+      Result.insert(&Found->second);
   }
+  return Result;
+}
+
+std::size_t WorkerRegistry::freeSlots(TimePoint Now) const {
+  std::int64_t Total = m_Slots;
+  for (const WorkerRecord *Worker : workersToWake(Now))
+    Total += slotsOf(*Worker, Now) - Worker->m_Position.m_Slots;
   return static_cast<std::size_t>(Total);
 }
 
+std::int64_t WorkerRegistry::largestFreeCpu(TimePoint Now) const {
+  std::int64_t Largest = 0;
+  for (const auto &[Service, Workers] : m_Services)
+    Largest = std::max(Largest, maxFreeCpu(Service));
+  for (const WorkerRecord *Worker : workersToWake(Now))
+    if (Worker->isAvailable(Now))
+      Largest = std::max(Largest, Worker->m_Free.m_CpuMillis);
+  return Largest;
+}
+
 } // namespace auburnhub
--- a/Source/Node/OwnerTable.cpp
+++ b/Source/Node/OwnerTable.cpp
@@ -44,6 +44,50 @@
     Found->second.m_TasksSentSinceLoad += TaskCount;
 }
 
+void OwnerTable::setLargestFreeCpu(const std::string &Name,
+                                   std::int64_t CpuMillis) {
+  auto Found = m_Owners.find(Name);
+  if (Found != m_Owners.end())
+    Found->second.m_LargestFreeCpu = CpuMillis;
+}
+
+void OwnerTable::addSentTask(const std::string &Name, std::int64_t CpuMillis) {
+  addSentTasks(Name, 1);
+  auto Found = m_Owners.find(Name);
+  if (Found != m_Owners.end())
+    Found->second.m_LargestFreeCpu -= CpuMillis;
+}
+
+std::int64_t OwnerTable::largestFreeCpu() const {
+  std::int64_t Largest = 0;
+  for (const auto &[Name, Known] : m_Owners)
+    Largest = std::max(Largest, Known.m_LargestFreeCpu);
+  return Largest;
+}
+
+std::optional<std::string>
+OwnerTable::chooseForTask(std::int64_t CpuMillis,
+                          const std::set<std::string> &TriedOwners) const {
+  auto WithCapacity = choose(/*TaskCount=*/1, TriedOwners);
+  if (WithCapacity && m_Owners.at(*WithCapacity).freeCapacity() >= 1)
+    return WithCapacity;
+  std::optional<std::string> Best;
+  std::pair<bool, std::int64_t> BestRank;
+  for (const auto &[Name, Candidate] : m_Owners) {
+    // Owners that state no free CPU have room for no task, however small.
+    if (TriedOwners.contains(Name) ||
+        Candidate.m_LargestFreeCpu < std::max<std::int64_t>(1, CpuMillis))
+      continue;
+    std::pair Rank(Candidate.m_DataCentre == m_DataCentre,
+                   Candidate.m_LargestFreeCpu);
+    if (Best && Rank <= BestRank)
+      continue;
+    Best = Name;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
 std::optional<std::string>
 OwnerTable::choose(double TaskCount,
                    const std::set<std::string> &TriedOwners) const {
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -167,6 +167,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(OffersTasks, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(InOrderAmongThoseThatFit) {
+  for (auto [Id, CpuMillis] :
+       {std::pair("a", 9000), std::pair("b", 1000), std::pair("c", 500)}) {
+    JobRequest Request = job(Id, 1);
+    Request.m_Steps.front().m_TaskResources.m_CpuMillis = CpuMillis;
+    submit(Request);
+  }
+  store();
+  BOOST_TEST(m_Ledger->nextTask(m_Now)->m_Job == "a");
+  BOOST_TEST(m_Ledger->nextTask(m_Now, 8999)->m_Job == "b");
+  BOOST_TEST(m_Ledger->nextTask(m_Now, 999)->m_Job == "c");
+  BOOST_TEST(!m_Ledger->nextTask(m_Now, 499));
+  m_Ledger->taskStarted(m_Now, {"b", 0, 0}, "owner");
+  BOOST_TEST(m_Ledger->readyTasks() == 2U);
+  BOOST_TEST(m_Ledger->nextTask(m_Now, 8999)->m_Job == "c");
+}
+
+BOOST_AUTO_TEST_CASE(WithWhatTheyNeed) {
+  submit(twoSteps("a"));
+  store();
+  BOOST_TEST(m_Ledger->cpuMillisOf({"a", 0, 0}) == 1000);
+  BOOST_TEST(m_Ledger->cpuMillisOf({"a", 2, 0}) == 0);
+  BOOST_TEST(m_Ledger->cpuMillisOf({"b", 0, 0}) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(BlocksSteps, LedgerFixture)
 
 BOOST_AUTO_TEST_CASE(UntilTheEndsOfEarlierStepsAreStored) {
--- a/Tests/Jobs/LedgerFixture.h
+++ b/Tests/Jobs/LedgerFixture.h
@@ -65,7 +65,7 @@
   std::optional<StoredTask> start(const std::string &Owner = "owner") {
     auto Task = m_Ledger->nextTask(m_Now);
     if (Task)
-      m_Ledger->taskStarted(m_Now, Owner);
+      m_Ledger->taskStarted(m_Now, Task->task(), Owner);
     return Task;
   }
   void endRun(const StoredTask &Task, StoredRunEnd Outcome,
--- a/Tests/Node/OwnerTableTest.cpp
+++ b/Tests/Node/OwnerTableTest.cpp
@@ -23,6 +23,55 @@
 
 BOOST_AUTO_TEST_SUITE(AnOwnerTable)
 
+// Guards against small stored tasks that wait for as long as no worker has room
+// for a task of typical size.
+BOOST_AUTO_TEST_SUITE(ChoosesForATask)
+
+BOOST_AUTO_TEST_CASE(TheNearbyOwnerThatHasAFreeSlot) {
+  OwnerTable Table = tableOf({{"a", 1}, {"b", 8}});
+  Table.setLargestFreeCpu("b", 9000);
+  BOOST_TEST(Table.chooseForTask(1000, {}).value_or("") == "a");
+  BOOST_TEST(Table.chooseForTask(1000, {"a"}).value_or("") == "b");
+}
+
+BOOST_AUTO_TEST_CASE(OneWithoutAFreeSlotIfAWorkerHasRoom) {
+  OwnerTable Table = tableOf({{"a", 0}, {"b", 0}, {"c", 0}});
+  BOOST_TEST(!Table.chooseForTask(1000, {}));
+  Table.setLargestFreeCpu("b", 8000);
+  Table.setLargestFreeCpu("c", 9000);
+  BOOST_TEST(Table.chooseForTask(1000, {}).value_or("") == "c");
+  BOOST_TEST(Table.chooseForTask(1000, {"c"}).value_or("") == "b");
+  Table.setLargestFreeCpu("a", 1000);
+  BOOST_TEST(Table.chooseForTask(1000, {}).value_or("") == "a");
+  BOOST_TEST(!Table.chooseForTask(9001, {}));
+}
+
+BOOST_AUTO_TEST_CASE(OneWithWaitingTasksThatDoNotFitIfAWorkerHasRoom) {
+  OwnerTable Table = tableOf({{"a", 0}});
+  Table.setLoad("a", 0, 40);
+  Table.setLargestFreeCpu("a", 3000);
+  BOOST_TEST(Table.chooseForTask(1000, {}).value_or("") == "a");
+}
+
+BOOST_AUTO_TEST_CASE(WithTheRoomOfTheTasksSentSinceTheLastReportTaken) {
+  OwnerTable Table = tableOf({{"a", 0}});
+  Table.setLargestFreeCpu("a", 2500);
+  for (int Sent = 0; Sent < 2; ++Sent) {
+    BOOST_TEST(Table.chooseForTask(1000, {}).has_value());
+    Table.addSentTask("a", 1000);
+  }
+  BOOST_TEST(!Table.chooseForTask(1000, {}));
+  Table.setLargestFreeCpu("a", 2500);
+  BOOST_TEST(Table.chooseForTask(1000, {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NoneThatStatesNoFreeCpu) {
+  OwnerTable Table = tableOf({{"a", 0}});
+  BOOST_TEST(!Table.chooseForTask(0, {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ChoosesForAJob)
 
 BOOST_AUTO_TEST_CASE(TheNearbyOwnerThatHasFreeCapacity) {
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNHUB_JOBS_JOBLEDGER_H
 #define AUBURNHUB_JOBS_JOBLEDGER_H
 
+#include "auburnhub/Jobs/ReadyTasks.h"
 #include "auburnhub/Jobs/StoredJob.h"
 #include "auburnhub/Policy/LossLimits.h"
 #include "auburnhub/Policy/Types.h"
@@ -8,6 +9,7 @@
 #include "absl/status/status.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -161,6 +163,9 @@
   JobLedger(const JobLedgerParameters &Parameters, LedgerEpoch Epoch)
       : m_Parameters(Parameters), m_Epoch(Epoch) {}
 
+  static constexpr std::int64_t AnyCpu =
+      std::numeric_limits<std::int64_t>::max();
+
   // Recovery.
   /// Loads a record of an earlier epoch. Fails with BadMessage if the record
   /// cannot be decoded.
@@ -204,13 +209,15 @@
   void refuseUnappendedJobs();
 
   // Owners of workers.
-  /// Returns the task to run next, if any is ready.
-  std::optional<StoredTask> nextTask(TimePoint Now) const;
-  /// The task returned by nextTask() has been assigned to this owner.
-  void taskStarted(TimePoint Now, const std::string &Owner);
-  /// No owner currently accepts the task returned by nextTask(); it is offered
-  /// again after a backoff.
-  void taskPostponed(TimePoint Now);
+  /// Returns the first ready task that needs at most this much CPU, in
+  /// thousandths of a core, if there is one.
+  std::optional<StoredTask> nextTask(TimePoint Now,
+                                     std::int64_t MaxCpuMillis = AnyCpu) const;
+  /// Returns the CPU that a task of an unfinished job needs, in thousandths of
+  /// a core; 0 if the task is unknown.
+  std::int64_t cpuMillisOf(const TaskRef &Ref) const;
+  /// A task returned by nextTask() has been assigned to this owner.
+  void taskStarted(TimePoint Now, const TaskRef &Ref, const std::string &Owner);
   /// An owner reports how a run ended; it may report the same end again.
   void runEndReported(TimePoint Now, std::int64_t WallMs,
                       const LedgerRunEnd &Report);
@@ -329,6 +336,8 @@
   /// task depends on are done.
   static bool mayRun(const LedgerJob &Job, std::uint32_t TaskIndex);
   /// Returns whether a run of the task may be alive, as far as known.
+  static std::int64_t cpuMillisOf(const LedgerJob &Job,
+                                  std::uint32_t TaskIndex);
   static bool mayBeAlive(const LedgerTask &Task) {
     return Task.m_State == TaskState::Running ||
            Task.m_State == TaskState::InDoubt ||
@@ -428,7 +437,7 @@
   /// Loaded progress by job; empty after begin().
   std::map<std::string, StoredJobProgress> m_LoadedProgress;
   std::uint64_t m_LastOrder = 0;
-  std::set<ReadyKey> m_Ready;
+  ReadyTasks<ReadyKey> m_Ready;
   /// Tasks in a state with a limited time, by the end of that state.
   std::set<std::pair<TimePoint, ReadyKey>> m_TimedTasks;
   /// Lost runs without evidence of a crash: address of the worker, job, index
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -242,6 +242,11 @@
   // Status.
   /// Returns how many tasks of typical size could start now.
   std::size_t freeSlots(TimePoint Now) const;
+  /// Returns the largest free CPU of a worker that may get a run now, in
+  /// thousandths of a core; 0 if there is none.
+  std::int64_t largestFreeCpu(TimePoint Now) const {
+    return m_Workers.largestFreeCpu(Now);
+  }
   /// Returns how many tasks wait for free capacity, without those that wait to
   /// run alone.
   std::size_t waitingTasks() const;
--- a/include/auburnhub/Jobs/WorkerRegistry.h
+++ b/include/auburnhub/Jobs/WorkerRegistry.h
@@ -167,6 +167,9 @@
   void setSlotSize(std::int64_t CpuMillis);
   /// Returns how many tasks of that size could start now. Only the CPU counts.
   std::size_t freeSlots(TimePoint Now) const;
+  /// Returns the largest free CPU of a worker that may get a run now, in
+  /// thousandths of a core; 0 if there is none.
+  std::int64_t largestFreeCpu(TimePoint Now) const;
 
   /// Returns how many workers were looked at by choose() so far.
   std::uint64_t looks() const { return m_Looks; }
@@ -192,6 +195,8 @@
     std::int64_t m_GainedCpu = NoCpu; ///< See takeGainedCpu().
   };
 
+  /// Returns the workers whose wake-up is due but was not processed by wake().
+  std::set<const WorkerRecord *> workersToWake(TimePoint Now) const;
   const WorkerIndex *findIndex(std::string_view Service,
                                std::string_view Label) const;
   void addToIndices(WorkerRecord &Worker);
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -42,6 +42,8 @@
   double m_PendingMaxAgeMs = 500;
   /// Interval between two queries to owners for runs that are not reported.
   double m_QueryIntervalMs = 1000;
+  /// Minimum interval between two log lines about tasks that wait for room.
+  double m_WaitingLogIntervalMs = 1000;
   JobLedgerParameters m_Ledger;
 };
 
@@ -110,8 +112,6 @@
   static const StateChart::Vocabulary &vocabulary();
 
 private:
-  static constexpr double OneTask = 1;
-
   struct Caller {
     std::string m_Node;
     std::uint64_t m_Call = 0;
@@ -140,14 +140,22 @@
   /// Returns whether records must be appended now; if they may still wait for
   /// a larger batch, starts m_LingerTimer.
   bool isAppendDue(TimePoint Now);
+  /// Gives ready tasks to owners with room, in order; a task for which there is
+  /// none does not hold up smaller ones.
   void assignTasks(TimePoint Now);
-  /// Returns the owner with room for one task that has not refused this one in
-  /// the current round, or nothing.
-  std::optional<std::string> chooseOwner(const TaskRef &Task) const;
+  void giveTask(TimePoint Now, const std::string &Owner, StoredTask Task);
+  /// Returns the owner with room for the task, which needs this much CPU in
+  /// thousandths of a core, that has not refused it in the current round, or
+  /// nothing.
+  std::optional<std::string> chooseOwner(const TaskRef &Task,
+                                         std::int64_t CpuMillis) const;
   /// Notes whether an owner has refused the task. Returns whether it has and
   /// another one may run the task now.
   bool noteRefusal(TimePoint Now, const std::string &From,
                    const StoredTaskReport &Msg);
+  /// Logs that no owner is known to have room for the next task, at most once
+  /// per m_WaitingLogIntervalMs.
+  void logWaiting(TimePoint Now, const StoredTask &Next);
   void confirmRuns(const std::string &Owner, std::vector<StoredRun> Runs);
   /// Passes the registered workers to the ledger, or only those at an address.
   void passRegisteredWorkers(std::optional<std::string_view> Address);
@@ -184,6 +192,7 @@
   RefusedOwners m_RefusedOwners;
   std::map<std::string, std::uint64_t> m_Pending;
   TimePoint m_PendingCountedAt;
+  TimePoint m_WaitingLoggedAt;
   std::string m_LastReadKey;
   TimePoint m_QueriedAt;
   std::uint64_t m_LastQuery = 0; ///< Sent at m_QueriedAt.
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -317,11 +317,9 @@
 
 template <JobLog Log>
 std::optional<std::string>
-LedgerPartition<Log>::chooseOwner(const TaskRef &Task) const {
-  auto Owner = m_Owners.choose(OneTask, m_RefusedOwners.of(Task));
-  if (!Owner || m_Owners.at(*Owner).freeCapacity() < OneTask)
-    return std::nullopt;
-  return Owner;
+LedgerPartition<Log>::chooseOwner(const TaskRef &Task,
+                                  std::int64_t CpuMillis) const {
+  return m_Owners.chooseForTask(CpuMillis, m_RefusedOwners.of(Task));
 }
 
 template <JobLog Log>
@@ -335,7 +333,7 @@
   if (!isOwnersRefusal(Msg.m_Reason))
     return false;
   m_RefusedOwners.add(Now, Task, From);
-  if (chooseOwner(Task))
+  if (chooseOwner(Task, m_Ledger.cpuMillisOf(Task)))
     return true;
   // The next round begins after the task's backoff.
   m_Log.info("stored_task_refused",
@@ -349,29 +347,22 @@
 
 template <JobLog Log> void LedgerPartition<Log>::assignTasks(TimePoint Now) {
   m_RefusedOwners.eraseOld(Now);
-  while (auto Task = m_Ledger.nextTask(Now)) {
-    auto Owner = chooseOwner(Task->task());
+  std::int64_t MaxCpuMillis = JobLedger::AnyCpu;
+  while (auto Task = m_Ledger.nextTask(Now, MaxCpuMillis)) {
+    std::int64_t CpuMillis = Task->m_Step.m_TaskResources.m_CpuMillis;
+    auto Owner = chooseOwner(Task->task(), CpuMillis);
     if (!Owner && !m_RefusedOwners.of(Task->task()).empty()) {
       // The other owners have no room any more: a new round begins.
       m_RefusedOwners.erase(Task->task());
-      Owner = chooseOwner(Task->task());
+      Owner = chooseOwner(Task->task(), CpuMillis);
     }
-    if (!Owner)
-      return;
-    m_Log.info("stored_task_given",
-               {{"task", Task->task().str()},
-                {"run", Task->m_Number},
-                {"owner", *Owner},
-                {"room", m_Owners.at(*Owner).freeCapacity()},
-                {"epoch", m_Claim.m_Epoch},
-                {"lost_runs", Task->m_LostRuns},
-                {"age_ms", std::round(Task->m_AgeMs)}});
-    m_Owners.addSentTasks(*Owner, OneTask);
-    m_Ledger.taskStarted(Now, *Owner);
-    double ConfirmedAtMs =
-        m_Effects.m_ClockOf(*Owner, m_Effects.m_ConfirmedAt());
-    m_Effects.m_Send(*Owner,
-                     RunStoredTask{m_Claim, *std::move(Task), ConfirmedAtMs});
+    if (Owner) {
+      giveTask(Now, *Owner, *std::move(Task));
+      continue;
+    }
+    logWaiting(Now, *Task);
+    // Smaller tasks may still have room.
+    MaxCpuMillis = std::min(CpuMillis - 1, m_Owners.largestFreeCpu());
   }
 }
 
@@ -386,6 +377,42 @@
 template <JobLog Log> void LedgerPartition<Log>::queryRuns(TimePoint Now) {
   if (millisecondsBetween(m_QueriedAt, Now) < m_Settings.m_QueryIntervalMs)
     return;
+template <JobLog Log>
+void LedgerPartition<Log>::giveTask(TimePoint Now, const std::string &Owner,
+                                    StoredTask Task) {
+  m_Log.info("stored_task_given",
+             {{"task", Task.task().str()},
+              {"run", Task.m_Number},
+              {"owner", Owner},
+              {"room", m_Owners.at(Owner).freeCapacity()},
+              {"free_cpu", m_Owners.at(Owner).m_LargestFreeCpu},
+              {"epoch", m_Claim.m_Epoch},
+              {"lost_runs", Task.m_LostRuns},
+              {"age_ms", std::round(Task.m_AgeMs)}});
+  m_Owners.addSentTask(Owner, Task.m_Step.m_TaskResources.m_CpuMillis);
+  m_Ledger.taskStarted(Now, Task.task(), Owner);
+  double ConfirmedAtMs = m_Effects.m_ClockOf(Owner, m_Effects.m_ConfirmedAt());
+  m_Effects.m_Send(Owner,
+                   RunStoredTask{m_Claim, std::move(Task), ConfirmedAtMs});
+}
+
+template <JobLog Log>
+void LedgerPartition<Log>::logWaiting(TimePoint Now, const StoredTask &Next) {
+  if (millisecondsBetween(m_WaitingLoggedAt, Now) <
+      m_Settings.m_WaitingLogIntervalMs)
+    return;
+  m_WaitingLoggedAt = Now;
+  m_Log.info("stored_tasks_wait",
+             {{"part", m_Claim.m_PartitionId},
+              {"ready", m_Ledger.readyTasks()},
+              {"task", Next.task().str()},
+              {"cpu", Next.m_Step.m_TaskResources.m_CpuMillis},
+              {"age_ms", std::round(Next.m_AgeMs)},
+              {"owners", m_Owners.size()},
+              {"largest_free_cpu", m_Owners.largestFreeCpu()},
+              {"epoch", m_Claim.m_Epoch}});
+}
+
   m_QueriedAt = Now;
   ++m_LastQuery;
   for (const std::string &Owner : m_Ledger.ownersToQuery(Now)) {
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -313,6 +313,7 @@
                      nodetimes::ClaimDelayMs)
     scheduleOwnershipUpdate();
   m_Router.updateOwnerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
+  m_Router.owners().setLargestFreeCpu(From, Status.m_LargestFreeCpu);
   onLedgerStatus(From, Status);
   m_Keeper.startReadyTasks();
 }
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -99,8 +99,11 @@
   static constexpr std::string_view TypeName = "node_status";
   bool m_Draining = false;
   std::vector<ShardClaim> m_Claims;
-  std::uint64_t m_FreeSlots = 0; ///< Tasks that could start now.
+  std::uint64_t m_FreeSlots = 0; ///< Tasks of typical size to start now.
   std::uint64_t m_WaitingTasks = 0;
+  /// Largest free CPU of a worker, in thousandths of a core. Older versions do
+  /// not say so.
+  std::int64_t m_LargestFreeCpu = 0;
   /// Versions of the documents stored at the node, by name.
   std::map<std::string, std::uint64_t> m_Documents;
   /// The system has, or once had, stored jobs.
@@ -117,6 +120,7 @@
     V("claims", m_Claims);
     V("free", m_FreeSlots);
     V("waiting", m_WaitingTasks);
+    V("free_cpu", m_LargestFreeCpu);
     V("documents", m_Documents);
     V("stores_jobs", m_StoresJobs);
     V("ledgers", m_Ledgers);
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -235,6 +235,7 @@
   Result.m_Claims = m_Shards.ownClaims();
   Result.m_FreeSlots = m_Host.freeSlots();
   Result.m_WaitingTasks = m_Host.waitingTasks();
+  Result.m_LargestFreeCpu = m_Host.largestFreeCpu();
   Result.m_Documents = m_Documents.versions();
   Result.m_StoresJobs = m_StoredRuns.jobsAreStored().value_or(false);
   Result.m_Ledgers = m_Keeper.statuses();
@@ -250,6 +251,8 @@
   m_SentFreeSlots = Status.m_FreeSlots;
   m_Router.updateOwnerLoad(m_Settings.m_Name, Status.m_FreeSlots,
                            Status.m_WaitingTasks);
+  m_Router.owners().setLargestFreeCpu(m_Settings.m_Name,
+                                      Status.m_LargestFreeCpu);
   onLedgerStatus(m_Settings.m_Name, Status);
   std::vector<std::string> Peers;
   Peers.reserve(m_Shards.nodes().size());
@@ -295,6 +298,8 @@
 void Node<Transport, Log>::onHostChanged() {
   m_Router.updateOwnerLoad(m_Settings.m_Name, m_Host.freeSlots(),
                            m_Host.waitingTasks());
+  m_Router.owners().setLargestFreeCpu(m_Settings.m_Name,
+                                      m_Host.largestFreeCpu());
   m_EvacuatedRuns.set(static_cast<double>(m_Host.evacuatedRuns()));
   m_Keeper.startReadyTasks();
   const auto &OwnClaims = m_Shards.ownClaims();
--- a/include/auburnhub/Node/OwnerTable.h
+++ b/include/auburnhub/Node/OwnerTable.h
@@ -28,6 +28,9 @@
     /// load reports. Learned; 0 until the second report.
     double m_TakenByOthers = 0;
     bool m_HasLoad = false; ///< A load report has been received.
+    /// Largest free CPU of one of its workers, in thousandths of a core, less
+    /// that of the tasks sent since it was reported.
+    std::int64_t m_LargestFreeCpu = 0;
 
     /// Returns the free capacity: how many more tasks the owner could start
     /// now. Negative if more tasks wait than slots are free.
@@ -55,6 +58,11 @@
   /// Records that tasks were sent to an owner. They reduce its free capacity
   /// until the next setLoad().
   void addSentTasks(const std::string &Name, double TaskCount);
+  /// Updates the largest free CPU of one of the owner's workers, in thousandths
+  /// of a core.
+  void setLargestFreeCpu(const std::string &Name, std::int64_t CpuMillis);
+  /// Records that one task of this size was sent to an owner.
+  void addSentTask(const std::string &Name, std::int64_t CpuMillis);
 
   /// Returns the best owner for this number of tasks that is not in
   /// TriedOwners, or nothing if there is none.
@@ -75,10 +83,23 @@
   std::optional<Choice>
   chooseForJob(std::string_view Job, double TaskCount,
                const std::set<std::string> &TriedOwners) const;
+  /// Returns the owner for one task of this size, in thousandths of a core: one
+  /// with free capacity, else one with a worker that has as much free CPU. One
+  /// in the data centre of this node is preferred. Returns nothing if no owner
+  /// that is not in TriedOwners is known to have room.
+  ///
+  /// Load pattern: small tasks beside such large ones that no worker has room
+  /// for another large one. Free capacity is counted in tasks of typical size.
+  std::optional<std::string>
+  chooseForTask(std::int64_t CpuMillis,
+                const std::set<std::string> &TriedOwners) const;
   /// Returns whether an owner that is not in TriedOwners has enough free
   /// capacity for this number of tasks.
   bool hasCapacityFor(double TaskCount,
                       const std::set<std::string> &TriedOwners) const;
+  /// Returns the largest free CPU of a worker of any owner as far as known, in
+  /// thousandths of a core.
+  std::int64_t largestFreeCpu() const;
   const Owner &at(const std::string &Name) const { return m_Owners.at(Name); }
   bool empty() const { return m_Owners.empty(); }
   std::size_t size() const { return m_Owners.size(); }
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -102,6 +102,7 @@
   /// later.
   bool hasAnsweredSince(const std::string &Worker, TimePoint Since) const;
   std::size_t freeSlots() const;
+  std::int64_t largestFreeCpu() const;
   std::size_t waitingTasks() const { return m_Scheduler.waitingTasks(); }
   std::size_t jobs() const { return m_Scheduler.jobs(); }
   bool hasWorkers() const { return !m_OwnedWorkers.empty(); }
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -316,6 +316,11 @@
   return m_Scheduler.freeSlots(EventLoop::now());
 }
 
+template <WorkerTransport Transport>
+std::int64_t ShardHost<Transport>::largestFreeCpu() const {
+  return m_Scheduler.largestFreeCpu(EventLoop::now());
+}
+
 template <WorkerTransport Transport>
 void ShardHost<Transport>::scheduleEffects() {
   if (std::exchange(m_EffectsPosted, true))
