Ledger: Acknowledge no end while another node may be the keeper

What callers would see: a task of a stored job runs again after it was done. Found by reading, not seen with real processes.

Cause: a keeper that wakes from a pause serves until its next tick. The end of a run whose job it did not know was acknowledged at once, also if the next keeper had accepted that job meanwhile; its runs were stopped. Calls and starts were guarded by the membership, reports of owners were not.

Change: reports and lists of runs are ignored while the membership is not confirmed. The fence is the one that starts and calls have; an owner reports an end until it is confirmed.

Result: ARunOfAJobThatAnotherNodeMayKeep failed before in both cases (1 acknowledgement and 1 stop order where none may be) and passes.

--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -95,6 +95,8 @@
   std::vector<WorkerIncarnation> m_Workers;
   std::vector<LedgerOpened> m_Questions; ///< Sent to single owners.
   std::vector<StoredRunsConfirmed> m_Confirmations;
+  int m_AcknowledgedEnds = 0;
+  int m_StopOrders = 0;
   const TimePoint m_ConfirmedAt = addMs(EventLoop::now(), -200);
   double m_OrderConfirmedAtMs = 0;
   StateChart m_Chart = *StateChart::load(
@@ -121,6 +123,9 @@
          if (const auto *Order = std::get_if<RunStoredTask>(&Msg))
            m_LastRun = {Order->m_Task.task(), Order->m_Task.m_Number};
          m_StartedRuns += std::holds_alternative<RunStoredTask>(Msg) ? 1 : 0;
+         m_AcknowledgedEnds +=
+             std::holds_alternative<StoredEndConfirmed>(Msg) ? 1 : 0;
+         m_StopOrders += std::holds_alternative<StopStoredRun>(Msg) ? 1 : 0;
          if (const auto *Question = std::get_if<LedgerOpened>(&Msg))
            m_Questions.push_back(*Question);
        },
@@ -349,6 +354,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against ends that a keeper acknowledges which has lost its partition
+// while its process was paused.
+BOOST_FIXTURE_TEST_SUITE(ARunOfAJobThatAnotherNodeMayKeep, PartitionFixture)
+
+BOOST_AUTO_TEST_CASE(HasNoEndThatIsAcknowledged) {
+  answer(absl::OkStatus());
+  StoredTaskReport Report;
+  Report.m_Run = {{"unknown", 0, 0}, 1};
+  Report.m_EndKind = StoredRunEnd::Done;
+  m_MayStart = false;
+  m_Partition.onReport("owner", Report);
+  BOOST_TEST(m_AcknowledgedEnds == 0);
+  m_MayStart = true;
+  m_Partition.onReport("owner", Report);
+  BOOST_TEST(m_AcknowledgedEnds == 1);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStopped) {
+  answer(absl::OkStatus());
+  const LedgerRuns Unknown{{0, 3}, {{{"unknown", 0, 0}, 1}}, 0};
+  m_MayStart = false;
+  m_Partition.onRuns("owner", Unknown);
+  BOOST_TEST(m_StopOrders == 0);
+  m_MayStart = true;
+  m_Partition.onRuns("owner", Unknown);
+  BOOST_TEST(m_StopOrders == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ARunWhoseEndIsNotReported, PartitionFixture)
 
 BOOST_AUTO_TEST_CASE(IsAskedForAtItsOwner) {
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -256,6 +256,17 @@
                                     const StoredTaskReport &Msg) {
   if (!isServing())
     return;
+  // After a pause another node may keep the partition. It knows jobs that are
+  // unknown here, whose ends must not be acknowledged; the owner reports them
+  // to it.
+  if (!m_Effects.m_MayStart()) {
+    m_Log.info("stored_run_report_ignored", {{"task", Msg.m_Run.m_Task.str()},
+                                             {"run", Msg.m_Run.m_Number},
+                                             {"owner", From},
+                                             {"part", m_Claim.m_PartitionId},
+                                             {"epoch", m_Claim.m_Epoch}});
+    return;
+  }
   bool IsWorkerLost = !Msg.m_LostWith.m_Worker.empty();
   m_Log.info("stored_run_over", {{"task", Msg.m_Run.m_Task.str()},
                                  {"run", Msg.m_Run.m_Number},
@@ -278,7 +289,7 @@
 template <JobLog Log>
 void LedgerPartition<Log>::onRuns(const std::string &From,
                                   const LedgerRuns &Msg) {
-  if (!isServing() || Msg.m_Claim != m_Claim)
+  if (!isServing() || Msg.m_Claim != m_Claim || !m_Effects.m_MayStart())
     return;
   for (const StoredRun &Run : Msg.m_Runs)
     m_Ledger.runReported(EventLoop::now(), From, Run.m_Task, Run.m_Number);
