Ledger: Tell the loss of a run from the end that its worker lists later

What callers would see: a task runs again after it was done, or a step starts before the earlier one is stored as done. Found by reading, not seen with real processes.

Cause: a worker that was out of reach for longer than its lease returns while the loss of its run is being stored, and lists the run as done. Both ends have the same task and number, so the confirmation of the loss acknowledged the end to the worker, and the keeper took the task for stored as done.

Change: a confirmation says that it is one of a loss. The owner ignores it once the run has another end, and the ledger goes on only when that end is stored. An end that follows the loss of a run is no repetition of it.

--- a/Source/Jobs/JobLedger.cpp
+++ b/Source/Jobs/JobLedger.cpp
@@ -258,7 +258,12 @@
     return;
   }
   const auto &Done = Job->m_Progress.m_Done;
-  if (std::find(Done.begin(), Done.end(), *TaskIndex) == Done.end()) {
+  bool IsDone = std::find(Done.begin(), Done.end(), *TaskIndex) != Done.end();
+  // The run was reported as lost first and as succeeded later; only the loss is
+  // stored yet.
+  if (IsDone && End.m_IsLoss)
+    return;
+  if (!IsDone) {
     Task.m_Refusals = 0;
     if (findLostRun(*Job, *TaskIndex, End.m_Number))
       retryAfterLoss(Now, *Job, *TaskIndex);
--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -58,8 +58,8 @@
 }
 
 void JobLedger::acknowledge(const ReportedEnd &End) {
-  m_Effects.emplace_back(
-      LedgerEndStored{End.m_Owner, End.m_Task, End.m_Number, End.m_Superseded});
+  m_Effects.emplace_back(LedgerEndStored{End.m_Owner, End.m_Task, End.m_Number,
+                                         End.m_Superseded, End.m_IsLoss});
 }
 
 void JobLedger::recordEnd(LedgerJob &Job, const ReportedEnd &End) {
@@ -71,7 +71,8 @@
                   [&](const ReportedEnd &Other) {
                     return Other.m_Owner == End.m_Owner &&
                            Other.m_Task == End.m_Task &&
-                           Other.m_Number == End.m_Number;
+                           Other.m_Number == End.m_Number &&
+                           Other.m_IsLoss == End.m_IsLoss;
                   }))
     return;
   m_NextBatch.m_Progress.insert(Job.m_Record.m_Job.m_Id);
@@ -135,6 +136,7 @@
 void JobLedger::runEndReported(TimePoint Now, std::int64_t WallMs,
                                const LedgerRunEnd &Report) {
   ReportedEnd End{Report.m_Owner, Report.m_Task, Report.m_Number};
+  End.m_IsLoss = !Report.m_LostWith.m_Worker.empty();
   LedgerJob *Job = find(Report.m_Task.m_Job);
   if (Job && Job->m_VisibleState >= StoredJobState::Completed) {
     // The runs of the job's tasks are forgotten: this one may have been
@@ -171,9 +173,7 @@
     handleFailed(WallMs, *Job, *TaskIndex, End, Report.m_Worker);
     return;
   }
-  bool IsLost = Report.m_Outcome == StoredRunEnd::Over &&
-                !Report.m_LostWith.m_Worker.empty();
-  if (IsLost) {
+  if (Report.m_Outcome == StoredRunEnd::Over && End.m_IsLoss) {
     handleLost(Now, WallMs, *Job, *TaskIndex, End, Report.m_LostWith);
     return;
   }
--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -143,6 +143,10 @@
   auto Found = m_Runs.find({Msg.m_Run.m_Task, Msg.m_Run.m_Number});
   if (Found == m_Runs.end() || !Found->second.m_End)
     return;
+  bool IsLoss = !Found->second.m_End->m_LostWith.m_Worker.empty();
+  // The worker has returned and listed the run's end, which was reported since.
+  if (Msg.m_IsLoss && !IsLoss)
+    return;
   Run Ended = std::move(Found->second);
   m_Runs.erase(Found);
   acknowledge(Ended, Msg);
--- a/Tests/Jobs/JobLedgerLossesTest.cpp
+++ b/Tests/Jobs/JobLedgerLossesTest.cpp
@@ -262,6 +262,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an end that passes for stored because the loss of its run is.
+BOOST_FIXTURE_TEST_SUITE(AndReturnWhileTheLossIsBeingStored, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(StartsTheNextStepOnlyOnceItsSuccessIsStored) {
+  submit(twoSteps("a"));
+  store();
+  auto Lost = start();
+  loseRun(*Lost, {"worker", "10.0.0.1:80", m_WallMs});
+  m_InFlight = m_Ledger->takeBatch();
+  write();
+  endRun(*Lost, StoredRunEnd::Done);
+  m_Ledger->appendSucceeded(m_Now);
+  collect();
+  BOOST_TEST(!start().has_value());
+  BOOST_REQUIRE(m_AcknowledgedEnds.size() == 1U);
+  store();
+  BOOST_TEST(m_AcknowledgedEnds.size() == 2U);
+  auto Next = start();
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->m_StepNumber == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsCountedAsFailedOnceThatIsStored) {
+  submit(job("a", 1, 1));
+  store();
+  auto Lost = start();
+  loseRun(*Lost, {"worker", "10.0.0.1:80", m_WallMs});
+  m_InFlight = m_Ledger->takeBatch();
+  write();
+  endRun(*Lost, StoredRunEnd::Failed);
+  m_Ledger->appendSucceeded(m_Now);
+  collect();
+  advanceTime(1000);
+  BOOST_TEST(!start().has_value());
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Running));
+  store();
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Failed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AndReportedAgain, LostWorkersFixture)
 
 BOOST_AUTO_TEST_CASE(IsCountedOnce) {
--- a/Tests/Jobs/JobLedgerRecordsTest.cpp
+++ b/Tests/Jobs/JobLedgerRecordsTest.cpp
@@ -153,4 +153,18 @@
   BOOST_TEST(isAcknowledged(Tasks.at("a/0/0")));
 }
 
+BOOST_AUTO_TEST_CASE(IsAppendedForTheSuccessOfARunThatWasLost) {
+  submit(twoSteps("a"));
+  store();
+  auto Task = start();
+  m_RejectedKey = "progress/a";
+  loseRun(*Task, {"worker", "10.0.0.1:80", m_WallMs});
+  BOOST_TEST(storeAll());
+  endRun(*Task, StoredRunEnd::Done);
+  BOOST_TEST(m_Ledger->hasRecords());
+  m_RejectedKey.clear();
+  BOOST_TEST(storeAll());
+  BOOST_TEST(m_AcknowledgedEnds.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -73,6 +73,22 @@
   BOOST_TEST(m_Acknowledged == 0);
 }
 
+// Guards against an end that its worker forgets before it is stored.
+BOOST_AUTO_TEST_CASE(IsNotAcknowledgedBecauseTheLossOfTheRunIsStored) {
+  m_Ended.m_LostWith = {"worker", "10.0.0.1:80", 1};
+  m_Runs.taskEnded(m_Ended);
+  BOOST_TEST(m_Runs.strayRunEnded("worker", m_Ended.m_Task, 1, RunEnd::Done));
+  m_Runs.endStored({{m_Ended.m_Task, 1}, false, /*m_IsLoss=*/true});
+  BOOST_TEST(m_Acknowledged == 0);
+  m_Runs.opened("next", LedgerOpened{{0, 2}});
+  auto Reports = reportsTo("next");
+  BOOST_REQUIRE(Reports.size() == 1U);
+  BOOST_TEST((Reports.front().m_EndKind == StoredRunEnd::Done));
+  m_Runs.endStored({{m_Ended.m_Task, 1}, false});
+  BOOST_TEST(m_Acknowledged == 1);
+  BOOST_TEST(m_Runs.runs() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ThatWasStoppedIsReportedOnce) {
   m_Runs.taskEnded(m_Ended);
   BOOST_TEST(reportsTo("keeper").size() == 1U);
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -115,6 +115,9 @@
   /// again or its job finished without this run. The worker's lease must expire
   /// before the end is acknowledged.
   bool m_Superseded = false;
+  /// What is stored is that the run was lost with its worker. The worker may
+  /// have listed an end of the run since, which is not stored.
+  bool m_IsLoss = false;
 };
 
 /// A job has finished and its final state is stored.
@@ -160,12 +163,12 @@
 /// the next incarnation of the worker.
 class JobLedger {
 public:
-  JobLedger(const JobLedgerParameters &Parameters, LedgerEpoch Epoch)
-      : m_Parameters(Parameters), m_Epoch(Epoch) {}
-
   static constexpr std::int64_t AnyCpu =
       std::numeric_limits<std::int64_t>::max();
 
+  JobLedger(const JobLedgerParameters &Parameters, LedgerEpoch Epoch)
+      : m_Parameters(Parameters), m_Epoch(Epoch) {}
+
   // Recovery.
   /// Loads a record of an earlier epoch. Fails with BadMessage if the record
   /// cannot be decoded.
@@ -304,6 +307,7 @@
     TaskRef m_Task;
     std::uint32_t m_Number = 0;
     bool m_Superseded = false;
+    bool m_IsLoss = false; ///< The run was lost with its worker.
   };
   /// Records to append, and what depends on them.
   struct Batch {
@@ -332,12 +336,12 @@
                                                   const TaskRef &Ref);
   static TaskRef taskRefOf(const LedgerJob &Job, std::uint32_t TaskIndex);
   ReadyKey readyKey(const LedgerJob &Job, std::uint32_t TaskIndex) const;
+  static std::int64_t cpuMillisOf(const LedgerJob &Job,
+                                  std::uint32_t TaskIndex);
   /// Returns whether the job is stored and unfinished and the steps that the
   /// task depends on are done.
   static bool mayRun(const LedgerJob &Job, std::uint32_t TaskIndex);
   /// Returns whether a run of the task may be alive, as far as known.
-  static std::int64_t cpuMillisOf(const LedgerJob &Job,
-                                  std::uint32_t TaskIndex);
   static bool mayBeAlive(const LedgerTask &Task) {
     return Task.m_State == TaskState::Running ||
            Task.m_State == TaskState::InDoubt ||
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -377,17 +377,6 @@
   }
 }
 
-template <JobLog Log> void LedgerPartition<Log>::countPending(TimePoint Now) {
-  if (millisecondsBetween(m_PendingCountedAt, Now) <
-      m_Settings.m_PendingMaxAgeMs)
-    return;
-  m_PendingCountedAt = Now;
-  m_Pending = m_Ledger.pending();
-}
-
-template <JobLog Log> void LedgerPartition<Log>::queryRuns(TimePoint Now) {
-  if (millisecondsBetween(m_QueriedAt, Now) < m_Settings.m_QueryIntervalMs)
-    return;
 template <JobLog Log>
 void LedgerPartition<Log>::giveTask(TimePoint Now, const std::string &Owner,
                                     StoredTask Task) {
@@ -424,6 +413,17 @@
               {"epoch", m_Claim.m_Epoch}});
 }
 
+template <JobLog Log> void LedgerPartition<Log>::countPending(TimePoint Now) {
+  if (millisecondsBetween(m_PendingCountedAt, Now) <
+      m_Settings.m_PendingMaxAgeMs)
+    return;
+  m_PendingCountedAt = Now;
+  m_Pending = m_Ledger.pending();
+}
+
+template <JobLog Log> void LedgerPartition<Log>::queryRuns(TimePoint Now) {
+  if (millisecondsBetween(m_QueriedAt, Now) < m_Settings.m_QueryIntervalMs)
+    return;
   m_QueriedAt = Now;
   ++m_LastQuery;
   for (const std::string &Owner : m_Ledger.ownersToQuery(Now)) {
@@ -463,7 +463,8 @@
 void LedgerPartition<Log>::apply(const LedgerEndStored &Effect) {
   m_Effects.m_Send(Effect.m_Owner,
                    StoredEndConfirmed{{Effect.m_Task, Effect.m_Number},
-                                      Effect.m_Superseded});
+                                      Effect.m_Superseded,
+                                      Effect.m_IsLoss});
 }
 
 template <JobLog Log>
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -362,9 +362,13 @@
   /// The task has been started again since: acknowledge the worker only after
   /// its lease has expired.
   bool m_Superseded = false;
+  /// What is stored is the loss of the run with its worker, and no end that the
+  /// worker has listed since. Older versions do not say so.
+  bool m_IsLoss = false;
   template <typename Visitor> void fields(Visitor &V) {
     V("run", m_Run);
     V("superseded", m_Superseded);
+    V("loss", m_IsLoss);
   }
 };
 
