--- a/Tests/Jobs/JobLedgerNumbersTest.cpp
+++ b/Tests/Jobs/JobLedgerNumbersTest.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <string>
+#include <vector>
+
 using namespace auburnhub;
 
 namespace {
@@ -87,6 +90,28 @@
   BOOST_TEST(isSuperseded(m_First));
 }
 
+BOOST_AUTO_TEST_CASE(AfterATakeoverIfAllThatWasStoredOfItWasItsLoss) {
+  submit(twoSteps("b"));
+  store();
+  auto Lost = start();
+  BOOST_REQUIRE(Lost.has_value());
+  loseRun(*Lost, {"worker", "10.0.0.1:80", m_WallMs});
+  store();
+  advanceTime(100);
+  auto Next = start();
+  BOOST_REQUIRE(Next.has_value());
+  takeOver();
+  endRun(*Lost, StoredRunEnd::Failed);
+  store();
+  BOOST_TEST(isSuperseded(*Lost));
+  m_Ledger->runReported(m_Now, "owner", Next->task(), Next->m_Number);
+  endRun(*Next, StoredRunEnd::Done);
+  store();
+  takeOver();
+  endRun(*Lost, StoredRunEnd::Done);
+  BOOST_TEST(isSuperseded(*Lost));
+}
+
 // Guards against a start beyond the attempts: the failure was acknowledged at
 // once, as that of a job that had failed.
 BOOST_AUTO_TEST_CASE(IfItHasFailedAndItsJobToo) {
@@ -287,3 +312,95 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against what only the memory of one keeper holds.
+BOOST_FIXTURE_TEST_SUITE(ATaskWhoseOwnersAndKeepersChangeTwice, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(HasHigherNumbersAndItsEarlierEndsAreSuperseded) {
+  submit(twoSteps("a"));
+  store();
+  std::vector<StoredTask> Runs;
+  for (int Change = 0; Change < 2; ++Change) {
+    for (const char *Owner : {"first", "second"}) {
+      auto Task = start(Owner);
+      BOOST_REQUIRE(Task.has_value());
+      Runs.push_back(*Task);
+      m_Ledger->ownerLost(m_Now, Owner);
+      passDoubt(4000);
+    }
+    takeOver();
+    passDoubt(4500);
+  }
+  auto Last = start("third");
+  BOOST_REQUIRE(Last.has_value());
+  Runs.push_back(*Last);
+  for (std::size_t I = 1; I < Runs.size(); ++I)
+    BOOST_TEST(Runs[I].m_Number > Runs[I - 1].m_Number);
+  endRun(*Last, StoredRunEnd::Done, "third");
+  store();
+  Runs.pop_back();
+  // The end of the task, and the ends that were confirmed, are known again.
+  for (int Change = 0; Change < 2; ++Change) {
+    takeOver();
+    for (const StoredTask &Run : Runs) {
+      endRun(Run, StoredRunEnd::Done, "first");
+      BOOST_TEST(isSuperseded(Run));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FailsItsJobAtTheLastOfAllAttempts) {
+  constexpr std::uint32_t Attempts = 3;
+  submit(job("a", 1, Attempts));
+  store();
+  for (std::uint32_t Attempt = 1; Attempt <= Attempts; ++Attempt) {
+    BOOST_TEST((m_Ledger->state("a") != StoredJobState::Failed));
+    auto Task = start("owner" + std::to_string(Attempt));
+    BOOST_REQUIRE(Task.has_value());
+    endRun(*Task, StoredRunEnd::Failed, "owner" + std::to_string(Attempt));
+    store();
+    takeOver();
+    passDoubt(4500);
+  }
+  BOOST_TEST((m_Ledger->state("a") == StoredJobState::Failed));
+  BOOST_TEST(!start().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsStoppedByEachKeeperOnceItsJobIsCancelled) {
+  submit(job("a", 1));
+  store();
+  auto Task = start();
+  cancel("a");
+  store();
+  BOOST_TEST(m_StoppedRuns.size() == 1U);
+  for (std::size_t Keeper = 2; Keeper <= 3; ++Keeper) {
+    takeOver();
+    m_Ledger->runReported(m_Now, "owner", Task->task(), Task->m_Number);
+    collect();
+    BOOST_TEST(m_StoppedRuns.size() == Keeper);
+    passDoubt(4500);
+    BOOST_TEST(!start().has_value());
+  }
+}
+
+// A silent owner neither starts the task nor reports it.
+BOOST_AUTO_TEST_CASE(IsStartedElsewhereThoughTwoOwnersAreSilent) {
+  submit(job("a", 1));
+  store();
+  std::uint32_t LastNumber = 0;
+  for (const char *Owner : {"first", "second"}) {
+    auto Task = start(Owner);
+    BOOST_REQUIRE(Task.has_value());
+    BOOST_TEST(Task->m_Number > LastNumber);
+    LastNumber = Task->m_Number;
+    advanceTime(JobLedgerParameters().m_UnreportedRunMs);
+    BOOST_TEST(m_Ledger->ownersToQuery(m_Now).contains(Owner));
+    m_Ledger->runsReported(m_Now, m_Now, Owner);
+    passDoubt(JobLedgerParameters().m_OwnerDoubtMs);
+  }
+  auto Third = start("third");
+  BOOST_REQUIRE(Third.has_value());
+  BOOST_TEST(Third->m_Number > LastNumber);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Jobs/JobLedgerRecordsTest.cpp
+++ b/Tests/Jobs/JobLedgerRecordsTest.cpp
@@ -153,6 +153,36 @@
   BOOST_TEST(isAcknowledged(Tasks.at("a/0/0")));
 }
 
+// Guards against a start under a number that the next keeper does not know.
+BOOST_AUTO_TEST_CASE(ReservesNoNumber) {
+  submit(job("a", 1));
+  submit(job("b", 1));
+  store();
+  auto First = start("lost");
+  auto Other = start("owner");
+  m_Ledger->ownerLost(m_Now, "lost");
+  m_RejectedKey = "progress/a";
+  advanceTime(4000);
+  BOOST_TEST(storeAll());
+  BOOST_TEST(!start().has_value());
+  endRun(*Other, StoredRunEnd::Done);
+  BOOST_TEST(storeAll());
+  BOOST_TEST(isAcknowledged(*Other));
+  BOOST_TEST(!start().has_value());
+}
+
+// Guards against an append for each repetition of an end.
+BOOST_AUTO_TEST_CASE(IsNotAppendedForAnEndThatIsReportedAgain) {
+  submit(twoSteps("a"));
+  store();
+  auto Task = start();
+  m_RejectedKey = "progress/a";
+  endRun(*Task, StoredRunEnd::Done);
+  BOOST_TEST(storeAll());
+  endRun(*Task, StoredRunEnd::Done);
+  BOOST_TEST(!m_Ledger->hasRecords());
+}
+
 BOOST_AUTO_TEST_CASE(IsAppendedForTheSuccessOfARunThatWasLost) {
   submit(twoSteps("a"));
   store();
--- a/Tests/Jobs/WorkerSessionTest.cpp
+++ b/Tests/Jobs/WorkerSessionTest.cpp
@@ -576,6 +576,25 @@
   BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 1U);
 }
 
+// Each incarnation numbers its ends anew.
+BOOST_AUTO_TEST_CASE(OfTheCurrentIncarnationAfterTwoRestarts) {
+  m_KeepsStrayEnds = true;
+  answerRenewal(makeReply({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}));
+  m_Session->start(1, m_Task, 1, "spec", true);
+  answerStart(OrderAnswer::Accepted);
+  for (int Incarnation : {2, 3}) {
+    answerRenewal(
+        makeReply({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}, Incarnation));
+    BOOST_TEST(m_Session->token() == 7U + Incarnation - 1U);
+    BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+    BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 0U);
+  }
+  answerRenewal(makeReply({}, {{1, {"other", 0, 0}, 2, RunEnd::Done}}, 3));
+  m_Session->acknowledge({"other", 0, 0}, 2);
+  BOOST_REQUIRE(!m_Orders.m_Renewals.empty());
+  BOOST_TEST(m_Orders.m_Renewals.back().m_Order.m_LastEndSeen == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(LetsTheLeaseExpire)
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -89,6 +89,34 @@
   BOOST_TEST(m_Runs.runs() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(IsReportedAgainByAnOwnerThatHasItsWorkerAgain) {
+  m_Ended.m_EndKind = StoredRunEnd::Done;
+  m_Runs.taskEnded(m_Ended);
+  // Another owner has had the worker twice.
+  for (int Time = 0; Time < 2; ++Time) {
+    m_Sent.clear();
+    BOOST_TEST(m_Runs.strayRunEnded("worker", m_Ended.m_Task, 1, RunEnd::Done));
+    BOOST_TEST(reportsTo("keeper").size() == 1U);
+  }
+  m_Runs.endStored({{m_Ended.m_Task, 1}, false});
+  BOOST_TEST(m_Acknowledged == 1);
+  // The acknowledgement has not reached the worker.
+  BOOST_TEST(m_Runs.strayRunEnded("worker", m_Ended.m_Task, 1, RunEnd::Done));
+  BOOST_TEST(reportsTo("keeper").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsReportedToEachOfTwoFurtherKeepers) {
+  m_Ended.m_EndKind = StoredRunEnd::Failed;
+  m_Runs.taskEnded(m_Ended);
+  m_Runs.keeperLost("keeper");
+  m_Runs.opened("next", LedgerOpened{{0, 2}});
+  BOOST_TEST(reportsTo("next").size() == 1U);
+  m_Runs.keeperLost("next");
+  m_Runs.opened("keeper", LedgerOpened{{0, 3}});
+  BOOST_TEST(reportsTo("keeper").size() == 1U);
+  BOOST_TEST(m_Acknowledged == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ThatWasStoppedIsReportedOnce) {
   m_Runs.taskEnded(m_Ended);
   BOOST_TEST(reportsTo("keeper").size() == 1U);
