Jobs: Blame a worker only for runs that others would not have failed

What callers saw: stored jobs whose tasks fail by their own fault were not shown as failed for many seconds, and sound jobs beside them waited, on idle workers, without any disruption.

Cause: each first failure of a task counted against its worker; three in a row ejected it for 1 to 8 s, also the only worker of an owner.

The refusals said no_room, and no line told of an ejection.

Change: FailureAttribution judges the failures of a worker by the runs of the same queues on other workers, those of other owners included; a worker is taken back when these fail, too. A stored task that all owners refuse runs on an ejected worker as its last resort.

--- a/Source/Jobs/Job.cpp
+++ b/Source/Jobs/Job.cpp
@@ -71,10 +71,20 @@
 }
 
 std::string_view jobReasonName(JobReason Reason) {
-  static constexpr std::array<std::string_view, 12> Names = {
-      "none",           "no_room",    "timed_out",  "cancelled",
-      "attempts_spent", "never_fits", "owner_lost", "no_owner",
-      "stopping",       "not_stored", "evacuated",  "would_be_late"};
+  static constexpr std::array<std::string_view, 13> Names = {
+      "none",
+      "no_room",
+      "timed_out",
+      "cancelled",
+      "attempts_spent",
+      "never_fits",
+      "owner_lost",
+      "no_owner",
+      "stopping",
+      "not_stored",
+      "evacuated",
+      "would_be_late",
+      "no_healthy_worker"};
   return Names[static_cast<std::size_t>(Reason)];
 }
 
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -337,6 +337,10 @@
     Requirements.m_AvoidedWorkers = nullptr;
     Choice = m_Workers.choose(Now, Requirements);
   }
+  if (!Choice.m_Worker && Job.m_MayBeEjected) {
+    Requirements.m_MayBeEjected = true;
+    Choice = m_Workers.choose(Now, Requirements);
+  }
   if (!Choice.m_Worker) {
     if (Choice.m_IsLimitedByLease)
       Job.m_LeaseLimitedAt = Requirements.m_RunUntil;
@@ -402,6 +406,8 @@
 }
 
 std::vector<JobEffect> JobScheduler::takeEffects() {
+  for (WorkerHealthDecision &Decision : m_Workers.takeHealthDecisions())
+    m_Effects.emplace_back(std::move(Decision));
   return std::exchange(m_Effects, {});
 }
 
--- a/Source/Jobs/JobSchedulerQueue.cpp
+++ b/Source/Jobs/JobSchedulerQueue.cpp
@@ -161,6 +161,13 @@
     m_DueJobs[{*Job.m_DueAt, Job.m_Serial}] = &Job;
 }
 
+JobReason JobScheduler::reasonNotStarted(const ActiveJob &Job) const {
+  const JobStep &Step = Job.m_Request.m_Steps[Job.m_Tasks.front().m_Step];
+  bool IsWorkerEjected =
+      m_Workers.fitsUnhealthyWorker(Job.m_Request.m_Policy.m_Service, Step);
+  return IsWorkerEjected ? JobReason::NoHealthyWorker : JobReason::NoRoom;
+}
+
 void JobScheduler::checkDeadlines(TimePoint Now) {
   std::vector<std::pair<ActiveJob *, JobReason>> Expired;
   for (const auto &[Key, Job] : m_DueJobs) {
@@ -170,7 +177,7 @@
       Expired.emplace_back(Job, JobReason::TimedOut);
     else if (!Job->m_FirstStart && Now >= Job->m_WaitUntil &&
              !hasWorkerSetAside(*Job, 0))
-      Expired.emplace_back(Job, JobReason::NoRoom);
+      Expired.emplace_back(Job, reasonNotStarted(*Job));
   }
   for (auto [Job, Reason] : Expired)
     if (Job->m_Stored) {
--- a/Source/Jobs/JobSchedulerRuns.cpp
+++ b/Source/Jobs/JobSchedulerRuns.cpp
@@ -77,7 +77,7 @@
     m_Workers.update(*Worker);
   }
   if (Worker && Reason == RefusalReason::Unhealthy)
-    m_Workers.recordRunFailure(Now, *Worker);
+    m_Workers.recordUnhealthy(Now, *Worker);
   auto Owner = m_Jobs.find(Run.m_Job);
   if (!Run.m_Detached && Owner != m_Jobs.end()) {
     ActiveJob &Job = *Owner->second;
@@ -101,7 +101,7 @@
   WorkerRecord *Worker = m_Workers.find(Run.m_Worker);
   if (Worker && isOnColdWorker(Run)) {
     m_Workers.recordColdRunTime(*Worker, TookMs, Run.m_BaseMs);
-    m_Workers.recordRunSuccess(*Worker);
+    m_Workers.recordRunSuccess(Now, *Worker, Run.m_Queue);
     return;
   }
   double Speed = Worker ? Worker->m_Speed : 1;
@@ -112,7 +112,7 @@
   Model.m_MeanMs += Weight * (TookMs * Speed - Model.m_MeanMs);
   if (Worker) {
     m_Workers.recordRunTime(*Worker, TookMs, Run.m_BaseMs);
-    m_Workers.recordRunSuccess(*Worker);
+    m_Workers.recordRunSuccess(Now, *Worker, Run.m_Queue);
   }
 }
 
@@ -175,11 +175,9 @@
 
 void JobScheduler::onTaskFailed(TimePoint Now, ActiveJob &Job, ActiveTask &Task,
                                 const std::string &Worker) {
-  // The failure counts against the worker only if the task has not failed
-  // before; otherwise the task itself may be the cause.
-  WorkerRecord *Record = m_Workers.find(Worker);
-  if (Record && Task.m_Failures == 0)
-    m_Workers.recordRunFailure(Now, *Record);
+  if (WorkerRecord *Record = m_Workers.find(Worker))
+    m_Workers.recordRunFailure(Now, *Record, Job.m_Request.m_Policy.m_Queue,
+                               /*IsRepeated=*/Task.m_Failures > 0);
   ++Task.m_Failures;
   Task.m_AvoidedWorkers.insert(Worker);
   if (Task.m_Failures >= Job.m_Request.m_Policy.m_MaxAttempts) {
@@ -244,7 +242,8 @@
     Run.m_Stalled = true;
     WorkerRecord *Worker = m_Workers.find(Run.m_Worker);
     if (Worker && !isOnColdWorker(Run))
-      m_Workers.recordRunFailure(Now, *Worker);
+      m_Workers.recordRunFailure(Now, *Worker, Run.m_Queue,
+                                 /*IsRepeated=*/false);
     auto Owner = m_Jobs.find(Run.m_Job);
     if (Owner != m_Jobs.end())
       Owner->second->m_Tasks[Run.m_Task].m_AvoidedWorkers.insert(Run.m_Worker);
--- a/Source/Jobs/JobSchedulerStored.cpp
+++ b/Source/Jobs/JobSchedulerStored.cpp
@@ -21,6 +21,7 @@
   ActiveJob &Job = *Owned;
   Job.m_Stored = true;
   Job.m_StoredNumber = Stored.m_Number;
+  Job.m_MayBeEjected = Stored.m_MayBeEjected;
   // The age of the job affects its rank but not how long the task may wait
   // here.
   Job.m_Submitted = addMs(Now, -Stored.m_AgeMs);
@@ -83,9 +84,10 @@
                                     const std::string &Worker, RunEnd End,
                                     const WorkerIncarnation &LostWith) {
   WorkerRecord *Record = m_Workers.find(Worker);
-  if (End == RunEnd::Failed && Record &&
-      Job.m_Tasks.front().m_AvoidedWorkers.empty())
-    m_Workers.recordRunFailure(Now, *Record);
+  if (End == RunEnd::Failed && Record)
+    m_Workers.recordRunFailure(
+        Now, *Record, Job.m_Request.m_Policy.m_Queue,
+        /*IsRepeated=*/!Job.m_Tasks.front().m_AvoidedWorkers.empty());
   StoredRunEnd Outcome = StoredRunEnd::Over;
   if (End == RunEnd::Done)
     Outcome = StoredRunEnd::Done;
--- a/Source/Jobs/WorkerRegistry.cpp
+++ b/Source/Jobs/WorkerRegistry.cpp
@@ -17,6 +17,10 @@
 /// change the count of free slots.
 constexpr double SlotSizeTolerance = 0.05;
 
+/// Minimum time between two reviews of the workers that are ejected, in
+/// milliseconds.
+constexpr double ReviewIntervalMs = 100;
+
 /// The initial speed of a worker has the weight of this many runs. The learned
 /// speed therefore changes quickly during the first runs and slowly afterwards.
 constexpr double InitialSpeedSamples = 4;
@@ -30,9 +34,13 @@
 
 } // namespace
 
+bool WorkerRecord::isUsable(TimePoint Now) const {
+  return m_Reachable && isDescribed() && !m_Spec.m_Leaving && !m_Evacuated &&
+         Now >= m_PausedUntil;
+}
+
 bool WorkerRecord::isAvailable(TimePoint Now) const {
-  if (!m_Reachable || !isDescribed() || m_Spec.m_Leaving || m_Evacuated ||
-      Now < m_PausedUntil)
+  if (!isUsable(Now))
     return false;
   if (m_Health.state() == HealthState::Ejected)
     return Now >= m_EjectedUntil;
@@ -65,7 +73,8 @@
   WorkerRecord &Record = Found->second;
   removeFromIndices(Record);
   m_Slots -= Record.m_Position.m_Slots;
-  m_Unhealthy -= Record.m_Position.m_IsUnhealthy ? 1 : 0;
+  m_Unhealthy.erase(Id);
+  m_Failures.eraseWorker(Id);
   m_Workers.erase(Found);
 }
 
@@ -80,7 +89,9 @@
   ++m_Looks;
   const JobStep &Step = *Requirements.m_Step;
   const std::string &Id = Worker.m_Spec.m_Id;
-  if (!Worker.isAvailable(Now) || !Step.m_TaskResources.fitsInto(Worker.m_Free))
+  bool IsInUse = Requirements.m_MayBeEjected ? Worker.isUsable(Now)
+                                             : Worker.isAvailable(Now);
+  if (!IsInUse || !Step.m_TaskResources.fitsInto(Worker.m_Free))
     return false;
   bool IsForOthers = Worker.m_SetAside && Id != Requirements.m_SetAsideWorker;
   if (IsForOthers || (Requirements.m_RunsAlone && Worker.m_Running > 0))
@@ -143,6 +154,13 @@
     Best.m_Candidates = All->countWithFreeCpu(Cpu);
     return Best;
   };
+  if (Requirements.m_MayBeEjected) {
+    for (const std::string &Id : m_Unhealthy)
+      if (WorkerRecord &Worker = m_Workers.at(Id);
+          Worker.m_Spec.m_Service == Requirements.m_Service && Accept(Worker))
+        return Take(&Worker, Requirements.m_ExpectedMs / speed(Worker));
+    return Best;
+  }
   const std::string &Preferred = Step.m_PreferredLabel;
   if (Preferred.empty()) {
     WorkerRecord *Found = All->find(Cpu, AnyClass, Accept);
@@ -253,22 +271,104 @@
                                    m_Parameters.m_SpeedWeight));
 }
 
-void WorkerRegistry::recordRunSuccess(WorkerRecord &Worker) {
+void WorkerRegistry::recordRunSuccess(TimePoint Now, WorkerRecord &Worker,
+                                      const std::string &Queue) {
+  m_Failures.runDone(Now, Queue, Worker.m_Spec.m_Id);
   Worker.m_Health.recordSuccess();
   update(Worker);
 }
 
-void WorkerRegistry::recordRunFailure(TimePoint Now, WorkerRecord &Worker) {
+void WorkerRegistry::recordRunFailure(TimePoint Now, WorkerRecord &Worker,
+                                      const std::string &Queue,
+                                      bool IsRepeated) {
+  m_Failures.runFailed(Now, Queue, Worker.m_Spec.m_Id, IsRepeated);
+  reviewEjections(Now);
+  if (!IsRepeated)
+    judge(Now, Worker);
+}
+
+void WorkerRegistry::recordUnhealthy(TimePoint Now, WorkerRecord &Worker) {
+  m_Failures.runRefused(Now, Worker.m_Spec.m_Id);
+  judge(Now, Worker);
+}
+
+void WorkerRegistry::setPeerOutcomes(TimePoint Now, const std::string &Owner,
+                                     QueueOutcomes Outcomes) {
+  m_Failures.setPeer(Owner, std::move(Outcomes));
+  reviewEjections(Now);
+}
+
+void WorkerRegistry::judge(TimePoint Now, WorkerRecord &Worker) {
+  const std::string &Id = Worker.m_Spec.m_Id;
+  std::uint32_t Failures = m_Failures.streakLength(Id);
+  bool IsOnProbation = Worker.m_Health.state() == HealthState::Probation;
+  bool IsStreak = IsOnProbation ||
+                  Failures >= static_cast<std::uint32_t>(
+                                  m_Parameters.m_Health.m_EjectAfterFailures);
+  double Probability = IsStreak ? m_Failures.streakProbability(Now, Id) : 1;
+  bool IsToBlame = Probability <= m_Parameters.m_MaxStreakProbability &&
+                   hasAlternative(Worker);
+  if (IsOnProbation && !IsToBlame) {
+    takeBack(Now, Worker);
+    return;
+  }
   double MaxEjected = m_Parameters.m_Health.m_MaxEjectedShare *
                       static_cast<double>(m_Workers.size());
   auto NewState = Worker.m_Health.recordFailure(
-      m_Parameters.m_Health, static_cast<double>(m_Unhealthy) < MaxEjected);
-  if (NewState == HealthState::Ejected)
-    Worker.m_EjectedUntil =
-        addMs(Now, Worker.m_Health.ejectionMs(m_Parameters.m_Health));
+      m_Parameters.m_Health,
+      IsToBlame && static_cast<double>(m_Unhealthy.size()) < MaxEjected);
+  if (NewState == HealthState::Ejected) {
+    double EjectionMs = Worker.m_Health.ejectionMs(m_Parameters.m_Health);
+    Worker.m_EjectedUntil = addMs(Now, EjectionMs);
+    m_HealthDecisions.push_back({Id, true, Failures, Probability, EjectionMs});
+  }
   update(Worker);
 }
 
+void WorkerRegistry::reviewEjections(TimePoint Now) {
+  if (m_Unhealthy.empty() ||
+      millisecondsBetween(m_ReviewedAt, Now) < ReviewIntervalMs)
+    return;
+  m_ReviewedAt = Now;
+  // Copied, because workers that are taken back are removed.
+  const std::vector Unhealthy(m_Unhealthy.begin(), m_Unhealthy.end());
+  for (const std::string &Id : Unhealthy)
+    if (m_Failures.streakProbability(Now, Id) >
+        m_Parameters.m_MaxStreakProbability)
+      takeBack(Now, m_Workers.at(Id));
+}
+
+void WorkerRegistry::takeBack(TimePoint Now, WorkerRecord &Worker) {
+  const std::string &Id = Worker.m_Spec.m_Id;
+  m_HealthDecisions.push_back({Id, false, m_Failures.streakLength(Id),
+                               m_Failures.streakProbability(Now, Id), 0});
+  Worker.m_Health = EndpointHealth();
+  update(Worker);
+}
+
+bool WorkerRegistry::hasAlternative(const WorkerRecord &Worker) const {
+  return m_Failures.hasPeers() ||
+         std::any_of(m_Workers.begin(), m_Workers.end(), [&](const auto &E) {
+           const WorkerRecord &Other = E.second;
+           return &Other != &Worker && Other.m_Reachable &&
+                  !Other.m_Spec.m_Leaving &&
+                  Other.m_Spec.m_Service == Worker.m_Spec.m_Service &&
+                  Other.m_Health.state() != HealthState::Ejected;
+         });
+}
+
+bool WorkerRegistry::fitsUnhealthyWorker(std::string_view Service,
+                                         const JobStep &Step) const {
+  return std::any_of(
+      m_Unhealthy.begin(), m_Unhealthy.end(), [&](const std::string &Id) {
+        const WorkerRecord &Worker = m_Workers.at(Id);
+        return Worker.m_Spec.m_Service == Service && Worker.isUsable(m_Now) &&
+               Step.m_TaskResources.fitsInto(Worker.m_Free) &&
+               (Step.m_RequiredLabel.empty() ||
+                Worker.m_Spec.hasLabel(Step.m_RequiredLabel));
+      });
+}
+
 const WorkerIndex *WorkerRegistry::findIndex(std::string_view Service,
                                              std::string_view Label) const {
   auto Found = m_Services.find(Service);
@@ -323,9 +423,10 @@
   scheduleWake(Worker);
   m_Slots += slotsOf(Worker, m_Now) - Position.m_Slots;
   Position.m_Slots = slotsOf(Worker, m_Now);
-  bool IsUnhealthy = Worker.m_Health.state() != HealthState::Healthy;
-  m_Unhealthy += IsUnhealthy ? 1 : 0;
-  m_Unhealthy -= std::exchange(Position.m_IsUnhealthy, IsUnhealthy) ? 1 : 0;
+  if (Worker.m_Health.state() != HealthState::Healthy)
+    m_Unhealthy.insert(Worker.m_Spec.m_Id);
+  else
+    m_Unhealthy.erase(Worker.m_Spec.m_Id);
 }
 
 void WorkerRegistry::beginRun(WorkerRecord &Worker, const Resources &Used) {
--- a/Source/Node/JobInterface.cpp
+++ b/Source/Node/JobInterface.cpp
@@ -55,6 +55,7 @@
   case JobReason::Cancelled:
     return FailureCode::Cancelled;
   case JobReason::NoRoom:
+  case JobReason::NoHealthyWorker:
   case JobReason::WouldBeLate:
     return FailureCode::Overloaded;
   case JobReason::None:
--- a/Source/Node/RefusedOwners.cpp
+++ b/Source/Node/RefusedOwners.cpp
@@ -1,5 +1,7 @@
 #include "auburnhub/Node/RefusedOwners.h"
 
+#include <utility>
+
 namespace auburnhub {
 namespace {
 
@@ -11,6 +13,7 @@
 bool isOwnersRefusal(JobReason Reason) {
   switch (Reason) {
   case JobReason::NoRoom:
+  case JobReason::NoHealthyWorker:
   case JobReason::WouldBeLate:
   case JobReason::Evacuated:
   case JobReason::NeverFits:
@@ -29,9 +32,11 @@
 }
 
 void RefusedOwners::add(TimePoint Now, const TaskRef &Task,
-                        const std::string &Owner) {
+                        const std::string &Owner, JobReason Reason) {
   Round &Current = m_Rounds[Task];
   Current.m_Owners.insert(Owner);
+  if (Reason == JobReason::NoHealthyWorker)
+    Current.m_WithEjectedWorker = Owner;
   Current.m_LastAt = Now;
 }
 
@@ -41,6 +46,22 @@
   return Found == m_Rounds.end() ? None : Found->second.m_Owners;
 }
 
+bool RefusedOwners::planLastResort(const TaskRef &Task) {
+  auto Found = m_Rounds.find(Task);
+  if (Found == m_Rounds.end() || Found->second.m_WithEjectedWorker.empty() ||
+      std::exchange(Found->second.m_IsLastResortPlanned, true))
+    return false;
+  Found->second.m_LastResort = Found->second.m_WithEjectedWorker;
+  return true;
+}
+
+std::string RefusedOwners::takeLastResort(const TaskRef &Task) {
+  auto Found = m_Rounds.find(Task);
+  return Found == m_Rounds.end()
+             ? std::string()
+             : std::exchange(Found->second.m_LastResort, {});
+}
+
 void RefusedOwners::eraseOld(TimePoint Now) {
   if (millisecondsBetween(m_CheckedAt, Now) < CheckIntervalMs)
     return;
--- a/Tests/Jobs/SchedulerFixture.h
+++ b/Tests/Jobs/SchedulerFixture.h
@@ -80,6 +80,9 @@
   void record(const NearbyWaitDecided &Event) {
     m_NearbyWaits.push_back(Event);
   }
+  void record(const WorkerHealthDecision &Event) {
+    m_HealthDecisions.push_back(Event);
+  }
   void record(const EarlierRunsAwaited &Event) {
     m_AwaitedRuns.push_back(Event.m_Runs);
   }
@@ -120,6 +123,7 @@
   std::vector<WorkerSetAside> m_SetAside;
   std::vector<std::size_t> m_AwaitedRuns;
   std::vector<NearbyWaitDecided> m_NearbyWaits;
+  std::vector<WorkerHealthDecision> m_HealthDecisions;
 };
 
 } // namespace auburnhub
--- a/Tests/Node/RefusedOwnersTest.cpp
+++ b/Tests/Node/RefusedOwnersTest.cpp
@@ -16,9 +16,9 @@
 BOOST_AUTO_TEST_CASE(AreKnownByTaskUntilItsRoundEnds) {
   RefusedOwners Refused;
   TimePoint Now = TimePoint(std::chrono::hours(1));
-  Refused.add(Now, First, "near");
-  Refused.add(Now, First, "far");
-  Refused.add(Now, Second, "near");
+  Refused.add(Now, First, "near", JobReason::NoRoom);
+  Refused.add(Now, First, "far", JobReason::NeverFits);
+  Refused.add(Now, Second, "near", JobReason::NoRoom);
   BOOST_TEST(Refused.of(First).size() == 2U);
   BOOST_TEST(Refused.of(Second).size() == 1U);
   Refused.erase(First);
@@ -26,10 +26,26 @@
   BOOST_TEST(Refused.of(Second).contains("near"));
 }
 
+BOOST_AUTO_TEST_CASE(AreOfferedItOnceMoreIfTheirWorkersAreEjected) {
+  RefusedOwners Refused;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+  Refused.add(Now, First, "near", JobReason::NoRoom);
+  BOOST_TEST(!Refused.planLastResort(First));
+  Refused.add(Now, First, "far", JobReason::NoHealthyWorker);
+  BOOST_TEST(Refused.takeLastResort(First).empty());
+  BOOST_TEST(Refused.planLastResort(First));
+  BOOST_TEST(!Refused.planLastResort(First));
+  BOOST_TEST(Refused.takeLastResort(First) == "far");
+  BOOST_TEST(Refused.takeLastResort(First).empty());
+  Refused.erase(First);
+  Refused.add(Now, First, "far", JobReason::NoHealthyWorker);
+  BOOST_TEST(Refused.planLastResort(First));
+}
+
 BOOST_AUTO_TEST_CASE(AreForgottenAfterATime) {
   RefusedOwners Refused;
   TimePoint Now = TimePoint(std::chrono::hours(1));
-  Refused.add(Now, First, "near");
+  Refused.add(Now, First, "near", JobReason::NoRoom);
   Refused.eraseOld(addMs(Now, RefusedOwners::MaxAgeMs));
   BOOST_TEST(Refused.size() == 1U);
   Refused.eraseOld(addMs(Now, 2 * RefusedOwners::MaxAgeMs));
@@ -38,8 +54,9 @@
 
 BOOST_AUTO_TEST_CASE(AreThoseWhoseReasonConcernsThemselves) {
   for (JobReason Reason :
-       {JobReason::NoRoom, JobReason::WouldBeLate, JobReason::Evacuated,
-        JobReason::NeverFits, JobReason::NoOwner, JobReason::Stopping})
+       {JobReason::NoRoom, JobReason::NoHealthyWorker, JobReason::WouldBeLate,
+        JobReason::Evacuated, JobReason::NeverFits, JobReason::NoOwner,
+        JobReason::Stopping})
     BOOST_TEST(isOwnersRefusal(Reason));
   for (JobReason Reason :
        {JobReason::None, JobReason::TimedOut, JobReason::Cancelled,
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -88,9 +88,10 @@
 }
 
 void FakeExecutor::scheduleEnd(const std::string &Task, Running &Run) {
+  bool Fails = m_Behaviour.m_Fails || Run.m_Fails;
   Run.m_Timer = m_Loop.once(
       EventLoop::Duration(static_cast<int>(Run.m_DurationMs)),
-      [this, Task] { end(Task, m_Behaviour.m_Fails ? "failed" : "done"); });
+      [this, Task, Fails] { end(Task, Fails ? "failed" : "done"); });
 }
 
 void FakeExecutor::crash() {
@@ -226,6 +227,7 @@
   Added.m_Run = Run;
   Added.m_Started = EventLoop::now();
   Added.m_CpuMillis = Cpu;
+  Added.m_Fails = HasSpec && Spec.value("fails", false);
   Added.m_DurationMs = m_Behaviour.m_RunTimeFactor *
                        (HasSpec ? Spec.value("ms", RunTime) : RunTime);
   m_PeakCpuMillis = std::max(m_PeakCpuMillis, cpuMillisInUse());
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -17,8 +17,9 @@
 /// and keeps a journal of every start, end and acknowledged end.
 ///
 /// A spec that is a JSON object may set how long its tasks run (`ms`), how many
-/// thousandths of a core they need (`cpu`), and the name of a task, as
-/// STEP.INDEX, that crashes the executor each time it is started (`crash`).
+/// thousandths of a core they need (`cpu`), that each run fails (`fails`), and
+/// the name of a task, as STEP.INDEX, that crashes the executor each time it is
+/// started (`crash`).
 class FakeExecutor {
 public:
   struct Behaviour {
@@ -110,6 +111,7 @@
     TimePoint m_Started;
     double m_DurationMs = 0;
     std::int64_t m_CpuMillis = 0;
+    bool m_Fails = false;
     EventLoop::Timer m_Timer;
   };
   struct Ended {
--- a/Tests/Platform/PlatformCluster.cpp
+++ b/Tests/Platform/PlatformCluster.cpp
@@ -303,6 +303,15 @@
   return call(Node, "POST", Prefix + Id, jobBody(Tasks, Spec).dump());
 }
 
+std::shared_ptr<PlatformCluster::Reply>
+PlatformCluster::submitStoredSpec(std::size_t Node, const std::string &Id,
+                                  int Tasks, const nlohmann::json &Spec) {
+  nlohmann::json Body = jobBody(Tasks, Spec.dump());
+  Body["steps"][0]["cpu"] = Spec.at("cpu");
+  Body["steps"][0]["estimated_ms"] = Spec.at("ms");
+  return call(Node, "POST", Prefix + Id, Body.dump());
+}
+
 std::string PlatformCluster::state(std::size_t Node, const std::string &Id) {
   auto Answer = call(Node, "GET", Prefix + Id);
   until([&] { return Answer->m_Answer.has_value(); });
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -125,6 +125,11 @@
   std::shared_ptr<Reply> submitStored(std::size_t Node, const std::string &Id,
                                       int Tasks,
                                       const std::string &Spec = "text");
+  /// Submits a job that must be stored. Its tasks state the CPU (`cpu`) and the
+  /// run time (`ms`) of the spec.
+  std::shared_ptr<Reply> submitStoredSpec(std::size_t Node,
+                                          const std::string &Id, int Tasks,
+                                          const nlohmann::json &Spec);
   /// Queries a node for the state of a stored job; empty unless it answers 200.
   std::string state(std::size_t Node, const std::string &Id);
   /// Queries the readiness address of a node.
--- a/Tests/Platform/SmallStoredTaskTest.cpp
+++ b/Tests/Platform/SmallStoredTaskTest.cpp
@@ -26,14 +26,8 @@
 
   /// Submits a stored job of one task.
   void submitTask(const std::string &Id, int CpuMillis, int RunMs) {
-    const nlohmann::json Spec = {{"cpu", CpuMillis}, {"ms", RunMs}};
-    const nlohmann::json Body = {{"spec", Spec.dump()},
-                                 {"steps",
-                                  {{{"count", 1},
-                                    {"cpu", CpuMillis},
-                                    {"mem_mb", 64},
-                                    {"estimated_ms", RunMs}}}}};
-    auto Reply = call(0, "POST", Prefix + Id, Body.dump());
+    auto Reply = submitStoredSpec(
+        0, Id, 1, nlohmann::json{{"cpu", CpuMillis}, {"ms", RunMs}});
     BOOST_REQUIRE(until([&] { return Reply->has(200); }));
   }
 };
--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -131,6 +131,7 @@
   NotStored = 9,     ///< The log was unreachable or did not answer.
   Evacuated = 10,    ///< All data centres with workers are evacuated.
   WouldBeLate = 11,  ///< It would start too late, by the owner's forecast.
+  NoHealthyWorker = 12, ///< The workers with free capacity are ejected.
 };
 
 /// Returns the lower-case name with underscores, e.g. "no_room".
--- a/include/auburnhub/Jobs/JobParameters.h
+++ b/include/auburnhub/Jobs/JobParameters.h
@@ -86,6 +86,9 @@
   std::size_t m_MaxJobs = 2000;
   /// Delay after which a refused caller may retry.
   double m_RetryAfterMs = 1000;
+  /// A worker is ejected if the probability that another one would have failed
+  /// the same runs since its last success is at most this.
+  double m_MaxStreakProbability = 0.002;
   /// Health of workers: consecutive failures and ejection times.
   PolicyParameters m_Health = defaultHealth();
 
--- a/include/auburnhub/Jobs/JobScheduler.h
+++ b/include/auburnhub/Jobs/JobScheduler.h
@@ -111,9 +111,9 @@
   NearbyWaitDecision m_Decision;
 };
 
-using JobEffect =
-    std::variant<StartRun, StopRun, JobFinished, StoredTaskEnded,
-                 WorkerSetAside, EarlierRunsAwaited, NearbyWaitDecided>;
+using JobEffect = std::variant<StartRun, StopRun, JobFinished, StoredTaskEnded,
+                               WorkerSetAside, EarlierRunsAwaited,
+                               NearbyWaitDecided, WorkerHealthDecision>;
 
 /// Why a run was refused. In each case the run has not started and never will.
 enum class RefusalReason {
@@ -247,6 +247,15 @@
   std::int64_t largestFreeCpu(TimePoint Now) const {
     return m_Workers.largestFreeCpu(Now);
   }
+  /// See FailureAttribution.
+  void setPeerOutcomes(TimePoint Now, const std::string &Owner,
+                       QueueOutcomes Outcomes) {
+    m_Workers.setPeerOutcomes(Now, Owner, std::move(Outcomes));
+  }
+  void erasePeer(const std::string &Owner) { m_Workers.erasePeer(Owner); }
+  QueueOutcomes failingQueues(TimePoint Now) const {
+    return m_Workers.failingQueues(Now);
+  }
   /// Returns how many tasks wait for free capacity, without those that wait to
   /// run alone.
   std::size_t waitingTasks() const;
@@ -304,6 +313,7 @@
     bool m_HasLostTasks = false;      ///< Tasks that must run alone.
     bool m_Stored = false;            ///< Wraps one run of a stored task.
     std::uint32_t m_StoredNumber = 0; ///< Number of the run in its ledger.
+    bool m_MayBeEjected = false;      ///< May run on an ejected worker.
   };
 
   struct ActiveRun {
@@ -442,6 +452,8 @@
   /// Returns whether the worker was cold at some time of the run.
   bool isOnColdWorker(const ActiveRun &Run) const;
   void checkDeadlines(TimePoint Now);
+  /// Returns why no task of a job has started in time.
+  JobReason reasonNotStarted(const ActiveJob &Job) const;
   void releaseRun(RunId Id);
   void onStoredRunEnded(TimePoint Now, ActiveJob &Job,
                         const std::string &Worker, RunEnd End,
--- a/include/auburnhub/Jobs/StoredJob.h
+++ b/include/auburnhub/Jobs/StoredJob.h
@@ -127,6 +127,8 @@
   /// Workers on which the task has failed or stalled.
   std::vector<std::string> m_AvoidedWorkers;
   std::uint32_t m_LostRuns = 0; ///< Runs that ended with their worker.
+  /// It may run on an ejected worker: no owner has another one with room.
+  bool m_MayBeEjected = false;
 
   TaskRef task() const { return {m_Job, m_StepNumber, m_Index}; }
   template <typename Visitor> void fields(Visitor &V) {
@@ -140,6 +142,7 @@
     V("age", m_AgeMs);
     V("avoid", m_AvoidedWorkers);
     V("lost", m_LostRuns);
+    V("any_health", m_MayBeEjected);
   }
 };
 
--- a/include/auburnhub/Jobs/WorkerIndex.h
+++ b/include/auburnhub/Jobs/WorkerIndex.h
@@ -80,7 +80,6 @@
   int m_Class = 0;
   std::int64_t m_FreeCpu = 0;
   std::int64_t m_Slots = 0; ///< Counted for it, see freeSlots().
-  bool m_IsUnhealthy = false;
 };
 
 } // namespace auburnhub
--- a/include/auburnhub/Jobs/WorkerRegistry.h
+++ b/include/auburnhub/Jobs/WorkerRegistry.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNHUB_JOBS_WORKERREGISTRY_H
 #define AUBURNHUB_JOBS_WORKERREGISTRY_H
 
+#include "auburnhub/Jobs/FailureAttribution.h"
 #include "auburnhub/Jobs/Job.h"
 #include "auburnhub/Jobs/JobParameters.h"
 #include "auburnhub/Jobs/WorkerIndex.h"
@@ -17,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace auburnhub {
 
@@ -49,6 +51,8 @@
 
   /// Returns whether the worker may get a new run.
   bool isAvailable(TimePoint Now) const;
+  /// The same whatever its health.
+  bool isUsable(TimePoint Now) const;
 };
 
 /// Requirements of a task on the worker that is to run it.
@@ -61,6 +65,8 @@
   /// Returns how many tasks of the step already run on a worker.
   std::function<std::uint32_t(const std::string &)> m_TasksOnWorker;
   bool m_RunsAlone = false; ///< The worker must have no runs.
+  /// A worker that is ejected may be chosen if no other one is available.
+  bool m_MayBeEjected = false;
   /// The lease of the worker must end by this time.
   TimePoint m_RunUntil = TimePoint::max();
   /// The worker that is set aside for this task, if any.
@@ -76,6 +82,17 @@
   bool m_IsLimitedByLease = false;
 };
 
+/// A worker was ejected, or taken back before its ejection had ended, with what
+/// decided it.
+struct WorkerHealthDecision {
+  std::string m_Worker;
+  bool m_IsEjected = false;
+  std::uint32_t m_Failures = 0; ///< Since its last success.
+  /// That another worker would have failed the same runs.
+  double m_Probability = 1;
+  double m_ForMs = 0; ///< Length of the ejection.
+};
+
 /// Registry of the workers of one owner. Chooses the worker with the shortest
 /// expected run time and, among equals, the one with the least free CPU.
 ///
@@ -180,10 +197,29 @@
   /// Updates the learned speed of cold workers, relative to their own speed.
   void recordColdRunTime(const WorkerRecord &Worker, double TookMs,
                          double ExpectedMs);
-  void recordRunSuccess(WorkerRecord &Worker);
-  /// Records a failure. Ejects the worker only while the share of workers that
-  /// are not healthy is below m_MaxEjectedShare.
-  void recordRunFailure(TimePoint Now, WorkerRecord &Worker);
+  void recordRunSuccess(TimePoint Now, WorkerRecord &Worker,
+                        const std::string &Queue);
+  /// Records a failed or stalled run. Ejects the worker if its failures speak
+  /// against it (FailureAttribution), another worker may run its tasks, and the
+  /// share of workers that are not healthy is below m_MaxEjectedShare.
+  /// IsRepeated: the task has failed before.
+  void recordRunFailure(TimePoint Now, WorkerRecord &Worker,
+                        const std::string &Queue, bool IsRepeated);
+  /// Records that the worker has refused a run because it is unhealthy.
+  void recordUnhealthy(TimePoint Now, WorkerRecord &Worker);
+  /// See FailureAttribution.
+  void setPeerOutcomes(TimePoint Now, const std::string &Owner,
+                       QueueOutcomes Outcomes);
+  void erasePeer(const std::string &Owner) { m_Failures.erasePeer(Owner); }
+  QueueOutcomes failingQueues(TimePoint Now) const {
+    return m_Failures.failingQueues(Now);
+  }
+  /// Returns the decisions since the last call.
+  std::vector<WorkerHealthDecision> takeHealthDecisions() {
+    return std::exchange(m_HealthDecisions, {});
+  }
+  /// Returns whether a task of the step lacks nothing but a healthy worker.
+  bool fitsUnhealthyWorker(std::string_view Service, const JobStep &Step) const;
 
 private:
   static constexpr std::int64_t NoCpu =
@@ -203,6 +239,13 @@
   void removeFromIndices(WorkerRecord &Worker);
   void setPosition(WorkerRecord &Worker, bool IsIndexed);
   void scheduleWake(const WorkerRecord &Worker);
+  /// Ejects the worker or not after a failure.
+  void judge(TimePoint Now, WorkerRecord &Worker);
+  /// Takes workers back whose failures do not speak against them any more.
+  void reviewEjections(TimePoint Now);
+  void takeBack(TimePoint Now, WorkerRecord &Worker);
+  /// Returns whether another worker than this one may run its tasks.
+  bool hasAlternative(const WorkerRecord &Worker) const;
   std::int64_t slotsOf(const WorkerRecord &Worker, TimePoint Now) const;
   /// Returns whether the worker meets the requirements now. Counts the look.
   bool meets(TimePoint Now, const WorkerRecord &Worker,
@@ -220,8 +263,11 @@
   std::set<std::pair<TimePoint, std::string>> m_Wakes;
   TimePoint m_Now; ///< Time of the last wake().
   std::int64_t m_SlotCpuMillis = 0;
-  std::int64_t m_Slots = 0; ///< Total of WorkerPosition::m_Slots.
-  std::size_t m_Unhealthy = 0;
+  std::int64_t m_Slots = 0;          ///< Total of WorkerPosition::m_Slots.
+  std::set<std::string> m_Unhealthy; ///< Workers that are not healthy.
+  FailureAttribution m_Failures;
+  TimePoint m_ReviewedAt; ///< Time of the last reviewEjections().
+  std::vector<WorkerHealthDecision> m_HealthDecisions;
   std::uint64_t m_Looks = 0;
   std::set<std::string> m_Evacuated; ///< Data centres.
   double m_ColdSpeed;                ///< Of cold workers; learned.
--- a/include/auburnhub/Node/LedgerPartitionImpl.h
+++ b/include/auburnhub/Node/LedgerPartitionImpl.h
@@ -343,8 +343,9 @@
   }
   if (!isOwnersRefusal(Msg.m_Reason))
     return false;
-  m_RefusedOwners.add(Now, Task, From);
-  if (chooseOwner(Task, m_Ledger.cpuMillisOf(Task)))
+  m_RefusedOwners.add(Now, Task, From, Msg.m_Reason);
+  if (chooseOwner(Task, m_Ledger.cpuMillisOf(Task)) ||
+      m_RefusedOwners.planLastResort(Task))
     return true;
   // The next round begins after the task's backoff.
   m_Log.info("stored_task_refused",
@@ -361,7 +362,10 @@
   std::int64_t MaxCpuMillis = JobLedger::AnyCpu;
   while (auto Task = m_Ledger.nextTask(Now, MaxCpuMillis)) {
     std::int64_t CpuMillis = Task->m_Step.m_TaskResources.m_CpuMillis;
-    auto Owner = chooseOwner(Task->task(), CpuMillis);
+    std::string LastResort = m_RefusedOwners.takeLastResort(Task->task());
+    Task->m_MayBeEjected = m_Owners.contains(LastResort);
+    auto Owner = Task->m_MayBeEjected ? std::optional(LastResort)
+                                      : chooseOwner(Task->task(), CpuMillis);
     if (!Owner && !m_RefusedOwners.of(Task->task()).empty()) {
       // The other owners have no room any more: a new round begins.
       m_RefusedOwners.erase(Task->task());
@@ -388,6 +392,7 @@
               {"free_cpu", m_Owners.at(Owner).m_LargestFreeCpu},
               {"epoch", m_Claim.m_Epoch},
               {"lost_runs", Task.m_LostRuns},
+              {"any_health", Task.m_MayBeEjected},
               {"age_ms", std::round(Task.m_AgeMs)}});
   m_Owners.addSentTask(Owner, Task.m_Step.m_TaskResources.m_CpuMillis);
   m_Ledger.taskStarted(Now, Task.task(), Owner);
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -208,6 +208,7 @@
   m_Shards.nodeDown(Name);
   m_Heartbeats.peerDown(Name);
   m_Documents.removePeer(Name);
+  m_Host.erasePeer(Name);
   abandonWorkWith(Name);
   scheduleOwnershipUpdate();
 }
@@ -314,6 +315,10 @@
     scheduleOwnershipUpdate();
   m_Router.updateOwnerLoad(From, Status.m_FreeSlots, Status.m_WaitingTasks);
   m_Router.owners().setLargestFreeCpu(From, Status.m_LargestFreeCpu);
+  if (Status.m_Claims.empty())
+    m_Host.erasePeer(From);
+  else
+    m_Host.setPeerOutcomes(From, Status.m_FailingQueues);
   onLedgerStatus(From, Status);
   m_Keeper.startReadyTasks();
 }
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNHUB_NODE_NODEMESSAGES_H
 #define AUBURNHUB_NODE_NODEMESSAGES_H
 
+#include "auburnhub/Jobs/FailureAttribution.h"
 #include "auburnhub/Jobs/StoredJob.h"
 #include "auburnhub/Messages/Codec.h"
 
@@ -109,6 +110,8 @@
   /// The system has, or once had, stored jobs.
   bool m_StoresJobs = false;
   std::vector<LedgerStatus> m_Ledgers;
+  /// Queues of which many runs fail at this owner.
+  QueueOutcomes m_FailingQueues;
   /// The node owns a shard, keeps a partition or runs jobs. Older versions do
   /// not say so.
   bool m_IsWorking = true;
@@ -124,6 +127,7 @@
     V("documents", m_Documents);
     V("stores_jobs", m_StoresJobs);
     V("ledgers", m_Ledgers);
+    V("failing", m_FailingQueues);
     V("working", m_IsWorking);
     V("interval", m_IntervalMs);
     V("clock", m_ClockMs);
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -236,6 +236,7 @@
   Result.m_FreeSlots = m_Host.freeSlots();
   Result.m_WaitingTasks = m_Host.waitingTasks();
   Result.m_LargestFreeCpu = m_Host.largestFreeCpu();
+  Result.m_FailingQueues = m_Host.failingQueues();
   Result.m_Documents = m_Documents.versions();
   Result.m_StoresJobs = m_StoredRuns.jobsAreStored().value_or(false);
   Result.m_Ledgers = m_Keeper.statuses();
--- a/include/auburnhub/Node/OwnerTable.h
+++ b/include/auburnhub/Node/OwnerTable.h
@@ -100,6 +100,9 @@
   /// Returns the largest free CPU of a worker of any owner as far as known, in
   /// thousandths of a core.
   std::int64_t largestFreeCpu() const;
+  bool contains(const std::string &Name) const {
+    return m_Owners.contains(Name);
+  }
   const Owner &at(const std::string &Name) const { return m_Owners.at(Name); }
   bool empty() const { return m_Owners.empty(); }
   std::size_t size() const { return m_Owners.size(); }
--- a/include/auburnhub/Node/ShardHost.h
+++ b/include/auburnhub/Node/ShardHost.h
@@ -77,6 +77,19 @@
     m_Scheduler.refreshEvacuations(EventLoop::now(), ReadAt);
     scheduleEffects();
   }
+  /// See FailureAttribution.
+  void setPeerOutcomes(const std::string &Owner, QueueOutcomes Outcomes) {
+    if (!hasWorkers())
+      return;
+    bool MayDecide = !Outcomes.empty();
+    m_Scheduler.setPeerOutcomes(EventLoop::now(), Owner, std::move(Outcomes));
+    if (MayDecide)
+      scheduleEffects();
+  }
+  void erasePeer(const std::string &Owner) { m_Scheduler.erasePeer(Owner); }
+  QueueOutcomes failingQueues() const {
+    return m_Scheduler.failingQueues(EventLoop::now());
+  }
   std::size_t evacuatedRuns() const { return m_Scheduler.evacuatedRuns(); }
 
   /// Runs of the job may be active until RunUntil at the latest, whatever
@@ -134,6 +147,14 @@
                                     {"task", SetAside.m_Task.str()},
                                     {"runs", SetAside.m_Runs}});
   }
+  void execute(const WorkerHealthDecision &Decision) {
+    (Decision.m_IsEjected ? m_Ejections : m_EndedEjections).add();
+    m_Log.warning(Decision.m_IsEjected ? "worker_ejected" : "worker_taken_back",
+                  {{"worker", Decision.m_Worker},
+                   {"failures", Decision.m_Failures},
+                   {"probability_elsewhere", Decision.m_Probability},
+                   {"for_ms", Decision.m_ForMs}});
+  }
   void execute(const NearbyWaitDecided &Decided) {
     m_Log.info("nearby_wait",
                {{"task", Decided.m_Task.str()},
@@ -195,6 +216,8 @@
   Counter &m_Refusals;
   Counter &m_Failures;
   Counter &m_NearbyWaits;
+  Counter &m_Ejections;
+  Counter &m_EndedEjections;
   LatencyHistogram &m_StartLatency;
   LatencyHistogram &m_RunTime;
 };
--- a/include/auburnhub/Node/ShardHostImpl.h
+++ b/include/auburnhub/Node/ShardHostImpl.h
@@ -30,6 +30,11 @@
       m_NearbyWaits(
           Metrics.counter("auburnhub_nearby_waits_total",
                           "Decisions to wait for a worker near the data")),
+      m_Ejections(Metrics.counter("auburnhub_workers_ejected_total",
+                                  "Workers ejected for their failed runs")),
+      m_EndedEjections(
+          Metrics.counter("auburnhub_workers_taken_back_total",
+                          "Ejected workers whose runs fail elsewhere, too")),
       m_StartLatency(Metrics.latency("auburnhub_job_wait_seconds",
                                      "From receipt of a job to each start")),
       m_RunTime(Metrics.latency("auburnhub_run_seconds",
