--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -221,5 +221,6 @@
 #include "auburnhub/Node/LedgerPartitionAppendsImpl.h"
 #include "auburnhub/Node/LedgerPartitionImpl.h"
 #include "auburnhub/Node/LedgerPartitionLossesImpl.h"
+#include "auburnhub/Node/LedgerPartitionTasksImpl.h"
 
 #endif
