Node: Send no reason that earlier versions have no name for

What would happen: a node of an earlier version that gets the new reason no_healthy_worker reads behind the end of its table of names.

Cause: reasons are sent as numbers, and the names are looked up unchecked.

Change: no_healthy_worker is sent as no_room with a further field, from which a node of this version restores it; an unknown reason has the name "unknown".

--- a/Source/Jobs/Job.cpp
+++ b/Source/Jobs/Job.cpp
@@ -85,7 +85,9 @@
       "evacuated",
       "would_be_late",
       "no_healthy_worker"};
-  return Names[static_cast<std::size_t>(Reason)];
+  // A later version may send further reasons.
+  auto Index = static_cast<std::size_t>(Reason);
+  return Index < Names.size() ? Names[Index] : "unknown";
 }
 
 std::string_view runEndName(RunEnd End) {
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -17,6 +17,16 @@
 
 namespace auburnhub {
 
+/// Visits the reason of a refusal. Earlier versions do not know NoHealthyWorker
+/// and read it as NoRoom.
+template <typename Visitor> void visitReason(Visitor &V, JobReason &Reason) {
+  bool IsNoWorkerHealthy = Reason == JobReason::NoHealthyWorker;
+  JobReason Known = IsNoWorkerHealthy ? JobReason::NoRoom : Reason;
+  V("reason", Known);
+  V("unhealthy", IsNoWorkerHealthy);
+  Reason = IsNoWorkerHealthy ? JobReason::NoHealthyWorker : Known;
+}
+
 /// Identifies a shard: a set of workers that has one owner at a time.
 struct ShardId {
   std::string m_DataCentre;
@@ -220,7 +230,7 @@
     V("call", m_Call);
     V("job", m_Job);
     V("outcome", m_Outcome);
-    V("reason", m_Reason);
+    visitReason(V, m_Reason);
     V("retry_after", m_RetryAfterMs);
     V("earlier_runs", m_HasEarlierRuns);
     V("free", m_FreeSlots);
@@ -390,7 +400,7 @@
     V("part", m_PartitionId);
     V("run", m_Run);
     V("how", m_EndKind);
-    V("reason", m_Reason);
+    visitReason(V, m_Reason);
     V("worker", m_Worker);
     V("lost_with", m_LostWith);
   }
