--- a/include/auburnhub/Jobs/Job.h
+++ b/include/auburnhub/Jobs/Job.h
@@ -134,8 +134,8 @@
   NoHealthyWorker = 12, ///< The workers with free capacity are ejected.
 };
 
-/// Returns the lower-case name with underscores, e.g. "no_room"; "unknown" for a
-/// reason of a later version.
+/// Returns the lower-case name with underscores, e.g. "no_room"; "unknown" for
+/// a reason of a later version.
 std::string_view jobReasonName(JobReason Reason);
 
 /// Result of a job as returned to its caller.
