Tests: Run tasks that were lost alone in the ledger's property test

The model lost it beside a task that crashes workers, again and again. Owners run each task that has lost a run alone on its worker (JobScheduler::startTask), so a task can be lost beside another one only in the first run of both.

Change: the model does as owners do. No bound or invariant is changed.

--- a/Tests/Jobs/JobLedgerPropertyTest.cpp
+++ b/Tests/Jobs/JobLedgerPropertyTest.cpp
@@ -248,11 +248,15 @@
       m_Losses.push_back({Run->second.m_Task, incarnation(Machine)});
       m_LiveRuns.erase(Run);
     };
+    // A task with a lost run runs alone on its worker.
+    bool IsAlone = It->second.m_Task.m_LostRuns > 0;
     Lose(It);
-    if (!m_LiveRuns.empty() && *rc::gen::arbitrary<bool>())
-      Lose(anyLiveRun());
     if (IsCrash)
       m_CrashedMachines.insert(Machine);
+    if (IsAlone || m_LiveRuns.empty() || !*rc::gen::arbitrary<bool>())
+      return;
+    if (auto Other = anyLiveRun(); Other->second.m_Task.m_LostRuns == 0)
+      Lose(Other);
   }
 
   WorkerIncarnation incarnation(int Machine) const {
