Keeper: Say that jobs are stored only once the log says so

Cause: the first node that stores a job told its peers "jobs are stored" before it had marked the log, and they joined the group of keepers at once. Tasks of the first job ran while a read of the log still found that no jobs are stored.

Change: a status carries "stores_jobs" once the sender has read or written the mark, or heard of it from such a node; each keeper joins after that. A node that drains writes the mark for the others.

--- a/Tests/Node/JobKeeperTest.cpp
+++ b/Tests/Node/JobKeeperTest.cpp
@@ -23,15 +23,14 @@
             const std::function<void(absl::StatusOr<JobLogPage>)> &) {}
   void append(std::uint32_t, LedgerEpoch, std::uint64_t,
               const std::vector<LedgerRecord> &, const Done &) {}
-  void markInUse(const Done &) {}
+  void markInUse(Done Call) { m_Marks.push_back(std::move(Call)); }
 
   std::vector<Joined> m_Joins;
+  std::vector<Done> m_Marks;
   int m_Opened = 0;
 };
 
-struct KeeperFixture {
-  KeeperFixture() { m_Keeper.activate(/*IsPublished=*/true); }
-
+struct InactiveKeeper {
   void waitMs(double Ms) {
     TimePoint Begin = EventLoop::now();
     while (millisecondsBetween(Begin, EventLoop::now()) < Ms) {
@@ -62,8 +61,37 @@
        [] { return std::vector<WorkerIncarnation>(); }}};
 };
 
+struct KeeperFixture : InactiveKeeper {
+  KeeperFixture() { m_Keeper.activate(/*IsPublished=*/true); }
+};
+
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(AKeeperThatIsTheFirstToStoreAJob, InactiveKeeper)
+
+// Guards against other keepers that start tasks before the log says that jobs
+// are stored.
+BOOST_AUTO_TEST_CASE(IsNotPublishedUntilTheLogIsMarked) {
+  m_Keeper.activate(/*IsPublished=*/false);
+  BOOST_REQUIRE(m_Log.m_Marks.size() == 1U);
+  BOOST_TEST(!m_Keeper.isPublished());
+  BOOST_TEST(m_Log.m_Joins.empty());
+  m_Log.m_Marks.front()(absl::OkStatus());
+  BOOST_TEST(m_Keeper.isPublished());
+  BOOST_TEST(m_Log.m_Joins.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(MarksTheLogWithoutJoiningIfItDrains) {
+  m_Keeper.drain();
+  m_Keeper.activate(/*IsPublished=*/false);
+  BOOST_REQUIRE(m_Log.m_Marks.size() == 1U);
+  m_Log.m_Marks.front()(absl::OkStatus());
+  BOOST_TEST(m_Keeper.isPublished());
+  BOOST_TEST(m_Log.m_Joins.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AKeeperWhoseLogAnswersLate, KeeperFixture)
 
 // Guards against partitions that are opened when the membership is over, and
--- a/include/auburnhub/Node/JobKeeper.h
+++ b/include/auburnhub/Node/JobKeeper.h
@@ -39,11 +39,15 @@
             LedgerPartitionEffects Effects);
 
   /// Joins the group; called once jobs are stored in this system. IsPublished
-  /// is true if other nodes can already learn that jobs are stored; if false,
-  /// JobLog::markInUse() must succeed before the group is joined. Ignored if
-  /// active or draining.
+  /// is true if the log says so already; if false, JobLog::markInUse() must
+  /// succeed before the group is joined. A keeper that drains only marks the
+  /// log, for the others. Ignored if active.
   void activate(bool IsPublished);
   bool isActive() const { return m_Active; }
+  /// Returns whether the log says that jobs are stored. Another keeper may be
+  /// activated as published only then: no task of a stored job may start
+  /// before, as nodes conclude from a log without the mark that none has.
+  bool isPublished() const { return m_IsPublished; }
 
   void onCall(const std::string &From, const LedgerCall &Msg);
   void onReport(const std::string &From, const StoredTaskReport &Msg);
@@ -89,6 +93,7 @@
   LedgerPartitionEffects m_Effects;
   auburnhub::Log m_Log{"keeper"};
   bool m_Active = false;
+  bool m_IsPublished = false;
   bool m_Draining = false;
   bool m_JoinFailed = false; ///< Whether the last join call failed.
   LedgerEpoch m_Generation = 0;
--- a/include/auburnhub/Node/JobKeeperImpl.h
+++ b/include/auburnhub/Node/JobKeeperImpl.h
@@ -22,14 +22,14 @@
 }
 
 template <JobLog Log> void JobKeeper<Log>::activate(bool IsPublished) {
-  if (m_Active || m_Draining)
+  m_IsPublished = m_IsPublished || IsPublished;
+  if (std::exchange(m_Active, true))
     return;
-  m_Active = true;
   m_Log.info("jobs_are_stored", {{"noted", IsPublished}});
   m_TickTimer = m_Loop.every(
       EventLoop::Duration(static_cast<int>(m_Settings.m_TickIntervalMs)),
       [this] { tick(); });
-  if (IsPublished)
+  if (m_IsPublished)
     join();
   else
     recordInUse();
@@ -38,6 +38,8 @@
 template <JobLog Log> void JobKeeper<Log>::recordInUse() {
   m_StoredJobLog.markInUse([this](const absl::Status &Status) {
     if (Status.ok()) {
+      m_IsPublished = true;
+      m_Effects.m_OnPhaseChanged();
       join();
       return;
     }
--- a/include/auburnhub/Node/LedgerPartition.h
+++ b/include/auburnhub/Node/LedgerPartition.h
@@ -51,7 +51,8 @@
 struct LedgerPartitionEffects {
   std::function<void(const std::string &Node, const StoredJobMessage &)> m_Send;
   std::function<void(const StoredJobMessage &)> m_Broadcast;
-  /// Called after each change of the phase.
+  /// Called after each change of the phase, and by JobKeeper when it has marked
+  /// the log.
   std::function<void()> m_OnPhaseChanged;
   /// Returns false if another node may already keep the partition. Asked
   /// immediately before each start, because the process may have been paused
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -117,7 +117,7 @@
   std::int64_t m_LargestFreeCpu = 0;
   /// Versions of the documents stored at the node, by name.
   std::map<std::string, std::uint64_t> m_Documents;
-  /// The system has, or once had, stored jobs.
+  /// The log says that the system has, or once had, stored jobs.
   bool m_StoresJobs = false;
   std::vector<LedgerStatus> m_Ledgers;
   /// Queues of which many runs fail at this owner.
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -238,7 +238,7 @@
   Result.m_LargestFreeCpu = m_Host.largestFreeCpu();
   Result.m_FailingQueues = m_Host.failingQueues();
   Result.m_Documents = m_Documents.versions();
-  Result.m_StoresJobs = m_StoredRuns.jobsAreStored().value_or(false);
+  Result.m_StoresJobs = m_Keeper.isPublished();
   Result.m_Ledgers = m_Keeper.statuses();
   Result.m_IsWorking = isWorking();
   Result.m_ClockMs = millisecondsBetween(TimePoint(), EventLoop::now());
