Node: Acknowledge foreign ends on a read of the log sent after them only

Cause: a node that was cut off from the others took over their workers and acknowledged the ends of runs that it had not ordered, as no jobs are stored. It had read that up to 5 s before, and the first ones had been stored behind the cut since.

Change: such an end is kept until a read of the directory that was sent after it was listed finds no mark, or until its keeper confirms it. The mark is written before the first job is accepted, so that this read proves that the run was not of a stored job.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -30,6 +30,7 @@
 
 bool StoredRuns::acceptClaim(const std::string &Keeper,
                              const LedgerClaim &Claim) {
+  setJobsAreStored();
   Partition &KnownPartition = m_Partitions[Claim.m_PartitionId];
   if (Claim.m_Epoch < KnownPartition.m_Epoch)
     return false;
@@ -46,7 +47,6 @@
 void StoredRuns::opened(const std::string &Keeper, const LedgerOpened &Msg) {
   if (!acceptClaim(Keeper, Msg.m_Claim))
     return;
-  m_JobsAreStored = true;
   LedgerRuns Answer;
   Answer.m_Claim = Msg.m_Claim;
   Answer.m_Query = Msg.m_Query;
@@ -205,8 +205,6 @@
 
 bool StoredRuns::strayRunEnded(const std::string &Worker, const TaskRef &Task,
                                std::uint32_t Number, RunEnd EndKind) {
-  if (m_JobsAreStored && !*m_JobsAreStored)
-    return false;
   StoredTaskReport Report;
   Report.m_PartitionId = ledgerPartitionOf(Task.m_Job, m_PartitionCount);
   Report.m_Run = {Task, Number};
@@ -221,22 +219,41 @@
     else if (Added.m_Worker != Worker)
       Added.m_OtherWorkers.insert(Worker);
     Added.m_End = Report;
+    Added.m_ListedAt = EventLoop::now();
+    bool JobsAreStored = m_JobsAreStored.value_or(false);
+    m_Log.info("stray_end_kept",
+               {{"worker", Worker},
+                {"task", Task.str()},
+                {"run", Number},
+                {"how", storedRunEndName(Report.m_EndKind)},
+                {"waits_for", JobsAreStored ? "keeper" : "read of the log"}});
+    if (!JobsAreStored)
+      m_Effects.m_ReadWhetherJobsAreStored();
   }
   report(std::move(Report));
   return MustKeep;
 }
 
-void StoredRuns::setJobsAreStored(bool Value) {
-  if (m_JobsAreStored && (*m_JobsAreStored || !Value))
-    return;
-  m_JobsAreStored = Value;
-  if (Value)
+void StoredRuns::setNoJobsStored(TimePoint ReadAt) {
+  if (m_JobsAreStored.value_or(false))
     return;
-  // The ends that were kept while this was unknown belong to jobs that are not
-  // stored; their workers may forget them.
+  m_JobsAreStored = false;
   auto KeptRuns = std::exchange(m_Runs, {});
-  for (const auto &[Key, OwnedRun] : KeptRuns)
-    acknowledge(OwnedRun, {{Key.first, Key.second}, false});
+  for (auto &[Key, KeptRun] : KeptRuns) {
+    if (KeptRun.m_ListedAt >= ReadAt) {
+      m_Runs.emplace(Key, std::move(KeptRun));
+      continue;
+    }
+    m_Log.info("stray_end_acknowledged",
+               {{"worker", KeptRun.m_Worker},
+                {"task", Key.first.str()},
+                {"run", Key.second},
+                {"read_after_ms",
+                 std::round(millisecondsBetween(KeptRun.m_ListedAt, ReadAt))}});
+    acknowledge(KeptRun, {{Key.first, Key.second}, false});
+  }
+  if (!m_Runs.empty())
+    m_Effects.m_ReadWhetherJobsAreStored();
 }
 
 } // namespace auburnhub
--- a/Tests/Node/StoredRunsQueryTest.cpp
+++ b/Tests/Node/StoredRunsQueryTest.cpp
@@ -36,7 +36,8 @@
                      [](const std::string &, const StoredEndConfirmed &) {},
                      [this](const std::string &, const StoredJobMessage &Msg) {
                        m_Sent.push_back(Msg);
-                     }}};
+                     },
+                     [] {}}};
 };
 
 } // namespace
--- a/Tests/Node/StoredRunsTest.cpp
+++ b/Tests/Node/StoredRunsTest.cpp
@@ -47,7 +47,8 @@
        },
        [this](const std::string &To, const StoredJobMessage &Msg) {
          m_Sent.emplace_back(To, Msg);
-       }}};
+       },
+       [] {}}};
   StoredTaskEnded m_Ended;
 };
 
@@ -166,7 +167,8 @@
                        bool IsRefusal =
                            Report && Report->m_EndKind == StoredRunEnd::NotRun;
                        m_Refused += IsRefusal ? 1 : 0;
-                     }}};
+                     },
+                     [] {}}};
 };
 
 } // namespace
--- a/Tests/Platform/FakeExecutor.cpp
+++ b/Tests/Platform/FakeExecutor.cpp
@@ -187,6 +187,7 @@
                                     0, m_LeaseUntilMs - clockMs())) /
                                 m_Behaviour.m_ClockRate));
   m_LeaseTimer = m_Loop.once(Remaining, [this] {
+    m_LapsedLeases.push_back(EventLoop::now());
     std::vector<std::string> Tasks;
     for (const auto &[Task, Item] : m_Running)
       Tasks.push_back(Task);
--- a/Tests/Platform/FakeExecutor.h
+++ b/Tests/Platform/FakeExecutor.h
@@ -101,6 +101,8 @@
   const std::vector<TimePoint> &startsOverCapacity() const {
     return m_StartsOverCapacity;
   }
+  /// Returns when leases have lapsed.
+  const std::vector<TimePoint> &lapsedLeases() const { return m_LapsedLeases; }
   static constexpr std::int64_t CpuMillis = 16000;
   /// Time within which a change of the capacity need not be known to owners.
   static constexpr EventLoop::Duration CapacityNoticeTime{4000};
@@ -160,6 +162,7 @@
   std::uint64_t m_LastSequence = 0;
   std::int64_t m_LeaseUntilMs = 0;
   EventLoop::Timer m_LeaseTimer;
+  std::vector<TimePoint> m_LapsedLeases;
   std::vector<std::pair<HttpExchange, EventLoop::Timer>> m_Renewals;
   std::vector<EventLoop::Timer> m_DelayTimers;
   std::vector<HttpExchange> m_Unanswered;
--- a/Tests/Platform/FirstStoredJobTest.cpp
+++ b/Tests/Platform/FirstStoredJobTest.cpp
@@ -4,8 +4,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace auburnhub;
 using namespace auburnhub::platform;
@@ -36,17 +41,128 @@
     return submitStoredSpec(0, Id, TasksPerJob, {{"cpu", 1000}, {"ms", 150}});
   }
 
+  void waitFor(double Ms) {
+    TimePoint Begin = EventLoop::now();
+    until([&] { return millisecondsBetween(Begin, EventLoop::now()) > Ms; });
+  }
+
   bool isMarked() const {
     return store().value(Directory, StoredJobsKey).has_value();
   }
 
+  /// Cuts the nodes off from each other. They reach the store, the workers and
+  /// the callers.
+  void setCut(bool IsCut) {
+    FaultyProxy::Faults BothWays;
+    BothWays.m_CutForward = BothWays.m_CutBack = IsCut;
+    for (std::size_t Node : {0, 1})
+      linkProxy(Node).set(BothWays);
+  }
+
+  /// Submits a job each IntervalMs for DurationMs.
+  void submitFor(double DurationMs, double IntervalMs) {
+    TimePoint Begin = EventLoop::now();
+    while (millisecondsBetween(Begin, EventLoop::now()) < DurationMs) {
+      m_Submitted.push_back(submitNext());
+      waitFor(IntervalMs);
+    }
+  }
+
+  std::size_t acceptedJobs() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_Submitted.begin(), m_Submitted.end(),
+                      [](const auto &Job) { return Job->has(200); }));
+  }
+
+  /// Returns when a run of each task has ended `done`, if its worker forgot
+  /// that end within the same lease. The first one counts.
+  std::map<std::string, TimePoint> doneTasks() const {
+    std::map<std::string, TimePoint> Result;
+    for (std::size_t Index = 0; Index < executors(); ++Index) {
+      const FakeExecutor &Worker = executor(Index);
+      std::map<std::pair<std::string, std::uint32_t>, TimePoint> Done;
+      for (const FakeExecutor::Event &E : Worker.journal()) {
+        std::pair Run(E.m_Task, E.m_Run);
+        if (E.m_What == "done")
+          Done[Run] = E.m_At;
+        if (E.m_What != "acknowledged" || !Done.contains(Run))
+          continue;
+        const auto &Lapsed = Worker.lapsedLeases();
+        bool HasLapsed =
+            std::any_of(Lapsed.begin(), Lapsed.end(), [&](TimePoint At) {
+              return At > Done[Run] && At <= E.m_At;
+            });
+        if (!HasLapsed)
+          Result.try_emplace(E.m_Task, Done[Run]);
+      }
+    }
+    return Result;
+  }
+
+  /// Returns how many runs have started after their task was done.
+  std::size_t startsOfDoneTasks() const {
+    std::size_t Result = 0;
+    auto Done = doneTasks();
+    for (std::size_t Index = 0; Index < executors(); ++Index)
+      for (const FakeExecutor::Event &E : executor(Index).journal())
+        if (auto Found = Done.find(E.m_Task); E.m_What == "start" &&
+                                              Found != Done.end() &&
+                                              E.m_At > Found->second)
+          ++Result;
+    return Result;
+  }
+
+  bool hasLogged(std::size_t Node, const std::string &Event) const {
+    auto Lines = log(Node);
+    return std::any_of(
+        Lines.begin(), Lines.end(), [&](const std::string &Line) {
+          return Line.find('"' + Event + '"') != std::string::npos;
+        });
+  }
+
   int m_LastJob = 0;
+  std::vector<std::shared_ptr<Reply>> m_Submitted;
+};
+
+/// The second node has read that no jobs are stored, and is cut off from the
+/// other one. The store answers its further reads of the directory too late.
+/// Ends take some time to be stored, and are unacknowledged meanwhile.
+struct UninformedNode : NoStoredJobs {
+  UninformedNode() {
+    store().delayReads(Directory, EventLoop::Duration(30000));
+    FaultyProxy::Faults Slow;
+    Slow.m_Delay = EventLoop::Duration(100);
+    storeProxy(0).set(Slow);
+    setCut(true);
+  }
 };
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TheFirstStoredJob)
 
+// Guards against tasks that are started again because a node that did not know
+// of stored jobs has acknowledged their ends to the workers.
+BOOST_FIXTURE_TEST_CASE(HasNoTaskStartedAgainAfterAnEndThatAnUninformedNodeSaw,
+                        UninformedNode) {
+  submitFor(6000, 40);
+  BOOST_TEST(acceptedJobs() > 10U);
+  BOOST_REQUIRE(waitForLogField(1, "a/0", "shard_claimed", "shard") == "a/0");
+  BOOST_TEST(hasLogged(1, "stray_end_kept"));
+  waitFor(5000);
+  BOOST_TEST(doneTasks().size() > 10U * TasksPerJob);
+  BOOST_TEST(startsOfDoneTasks() == 0U);
+  // Each end is acknowledged once the nodes and the store are well.
+  setCut(false);
+  store().delayReads(Directory, EventLoop::Duration(0));
+  storeProxy(0).set({});
+  BOOST_TEST(until([&] {
+    return totalRunning() == 0 && executor(0).unacknowledgedEnds() == 0 &&
+           executor(1).unacknowledgedEnds() == 0;
+  }));
+  BOOST_TEST(startsOfDoneTasks() == 0U);
+}
+
 // Guards against keepers that hear of stored jobs from a peer and start tasks
 // while a node that reads the log would still find that there are none.
 BOOST_FIXTURE_TEST_CASE(IsMarkedInTheLogBeforeItsFirstTaskStarts,
--- a/Tests/Platform/PlatformCluster.h
+++ b/Tests/Platform/PlatformCluster.h
@@ -137,6 +137,7 @@
 
   EventLoop &loop() { return m_Loop; }
   FakeStore &store() { return m_Store; }
+  const FakeStore &store() const { return m_Store; }
   FakeExecutor &executor(std::size_t Index) { return *m_Executors[Index]; }
   const FakeExecutor &executor(std::size_t Index) const {
     return *m_Executors[Index];
--- a/Tests/Platform/StoreWatchTest.cpp
+++ b/Tests/Platform/StoreWatchTest.cpp
@@ -28,7 +28,7 @@
   Events.m_WorkerRemoved = [](const std::string &) {};
   Events.m_WorkersRead = [](std::uint64_t) {};
   Events.m_NodeFound = [](const Address &) {};
-  Events.m_DirectoryRead = [](bool) {};
+  Events.m_DirectoryRead = [](TimePoint, std::optional<bool>) {};
   Events.m_WorkersUnreadable = [] {};
   Events.m_WorkersReadEnded = [](TimePoint, bool) {};
   Events.m_EvacuationsRead = [](std::uint64_t, const std::set<std::string> &) {
@@ -185,3 +185,98 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+constexpr const char *Directory = "keyed.auburnhub-nodes";
+
+/// A watch that has read the directory once, without finding stored jobs.
+struct AWatchOfTheDirectory {
+  AWatchOfTheDirectory() {
+    BOOST_REQUIRE(m_Store.listen({"127.0.0.1", 0}).ok());
+    m_Client.emplace(m_Loop, m_Store.address());
+    StoreWatchEvents Events = ignoringEvents();
+    Events.m_DirectoryRead = [this](TimePoint SentAt,
+                                    std::optional<bool> StoresJobs) {
+      m_Reads.push_back({SentAt, StoresJobs});
+    };
+    m_Watch.emplace(m_Loop, *m_Client, "a", "127.0.0.1:9", Events, bounds());
+  }
+
+  bool runUntilReads(std::size_t Count) {
+    TimePoint Begin = EventLoop::now();
+    while (m_Reads.size() < Count) {
+      if (millisecondsBetween(Begin, EventLoop::now()) > TestTimeoutMs)
+        return false;
+      runFor(20);
+    }
+    return true;
+  }
+
+  void runFor(int Ms) {
+    m_Loop.io().restart();
+    m_Loop.io().run_for(std::chrono::milliseconds(Ms));
+  }
+
+  void start() {
+    m_Watch->start();
+    BOOST_REQUIRE(runUntilReads(1));
+    BOOST_TEST((m_Reads[0].m_StoresJobs == std::optional(false)));
+  }
+
+  struct Read {
+    TimePoint m_SentAt;
+    std::optional<bool> m_StoresJobs;
+  };
+  EventLoop m_Loop;
+  FakeStore m_Store{m_Loop};
+  std::optional<StoreClient> m_Client;
+  std::optional<StoreWatch> m_Watch;
+  std::vector<Read> m_Reads;
+};
+
+} // namespace
+
+// Guards against conclusions from a read that was sent before the question.
+BOOST_FIXTURE_TEST_SUITE(ADirectory, AWatchOfTheDirectory)
+
+BOOST_AUTO_TEST_CASE(IsReadAgainOnRequest) {
+  start();
+  m_Store.put(Directory, StoredJobsKey, "1");
+  TimePoint RequestedAt = EventLoop::now();
+  m_Watch->requestDirectoryRead();
+  BOOST_REQUIRE(runUntilReads(2));
+  BOOST_TEST((m_Reads[1].m_SentAt >= RequestedAt));
+  BOOST_TEST(millisecondsBetween(RequestedAt, EventLoop::now()) < 1000);
+  BOOST_TEST((m_Reads[1].m_StoresJobs == std::optional(true)));
+}
+
+BOOST_AUTO_TEST_CASE(IsReadOnceForRequestsThatComeTogether) {
+  start();
+  for (int Request = 0; Request < 5; ++Request)
+    m_Watch->requestDirectoryRead();
+  runFor(600);
+  BOOST_TEST(m_Reads.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(IsReadAgainForARequestDuringARead) {
+  start();
+  m_Store.delayReads(Directory, EventLoop::Duration(200));
+  m_Watch->requestDirectoryRead();
+  while (m_Store.delayedReads() == 0)
+    runFor(5);
+  TimePoint RequestedAt = EventLoop::now();
+  m_Watch->requestDirectoryRead();
+  BOOST_REQUIRE(runUntilReads(3));
+  BOOST_TEST((m_Reads[1].m_SentAt < RequestedAt));
+  BOOST_TEST((m_Reads[2].m_SentAt >= RequestedAt));
+}
+
+BOOST_AUTO_TEST_CASE(WhoseEndCannotBeReadDoesNotSayThatNoJobsAreStored) {
+  m_Store.setNewestPage(Directory, R"({"items":[],"has_more":true,"end":3})");
+  m_Watch->start();
+  BOOST_REQUIRE(runUntilReads(1));
+  BOOST_TEST(!m_Reads[0].m_StoresJobs.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -69,6 +69,9 @@
   std::function<std::optional<WorkerChanges>(std::uint64_t From)>
       m_WorkerChangesRequested;
   std::function<void(const WorkerChanges &)> m_WorkerChangesReceived;
+  /// Requests a read of the log for Node::setJobsAreStored() that is sent after
+  /// this call.
+  std::function<void()> m_StoredJobsReadRequested;
 };
 
 /// One process of the system: accepts jobs from callers, and owns shards of
@@ -152,9 +155,9 @@
   bool knows(const std::string &Job) const { return m_Router.knows(Job); }
 
   // Stored jobs.
-  /// Sets whether the log contains stored jobs. Called once this has been read
-  /// from the log.
-  void setJobsAreStored(bool Value);
+  /// Sets whether the log contained stored jobs when a read of it was sent, at
+  /// ReadAt. Called after each such read.
+  void setJobsAreStored(TimePoint ReadAt, bool Value);
   /// Returns whether jobs are stored, or nothing until setJobsAreStored() was
   /// called.
   std::optional<bool> storesJobs() const {
@@ -244,6 +247,8 @@
   void handleMessage(const std::string &From, const StoredTaskReport &Msg);
   void handleMessage(const std::string &From, const LedgerRuns &Msg);
   void onLedgerStatus(const std::string &From, const NodeStatus &Status);
+  /// The log says that jobs are stored.
+  void onJobsAreStored();
   void onLedgersChanged();
 
   void accept(const JobRequester &From, const JobRequest &Job,
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -50,7 +50,8 @@
           },
           [this](const std::string &To, const StoredJobMessage &Msg) {
             sendStoredJobMessage(To, Msg);
-          }};
+          },
+          [this] { m_Events.m_StoredJobsReadRequested(); }};
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -139,10 +140,17 @@
 }
 
 template <WorkerTransport Transport, JobLog Log>
-void Node<Transport, Log>::setJobsAreStored(bool Value) {
-  m_StoredRuns.setJobsAreStored(Value);
+void Node<Transport, Log>::setJobsAreStored(TimePoint ReadAt, bool Value) {
   if (Value)
-    m_Keeper.activate(true);
+    onJobsAreStored();
+  else
+    m_StoredRuns.setNoJobsStored(ReadAt);
+}
+
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::onJobsAreStored() {
+  m_StoredRuns.setJobsAreStored();
+  m_Keeper.activate(/*IsPublished=*/true);
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -150,8 +158,8 @@
                                 JobRequest Job, double TimeLeftMs,
                                 LedgerCalls::Done Done) {
   if (Kind == LedgerCallKind::Submit && !m_Keeper.isActive()) {
-    m_StoredRuns.setJobsAreStored(true);
-    m_Keeper.activate(false);
+    m_StoredRuns.setJobsAreStored();
+    m_Keeper.activate(/*IsPublished=*/false);
   }
   m_LedgerCalls.call(Kind, Id, std::move(Job), TimeLeftMs, std::move(Done));
 }
@@ -165,7 +173,7 @@
 void Node<Transport, Log>::onLedgerStatus(const std::string &From,
                                           const NodeStatus &Status) {
   if (Status.m_StoresJobs)
-    setJobsAreStored(true);
+    onJobsAreStored();
   m_LedgerCalls.updateLedgers(From, Status.m_Ledgers);
 }
 
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -23,6 +23,10 @@
   std::function<void(const std::string &Worker, const StoredEndConfirmed &)>
       m_Acknowledge;
   std::function<void(const std::string &Node, const StoredJobMessage &)> m_Send;
+  /// Requests a read of the log that is sent after this call and tells whether
+  /// jobs are stored. Its result is passed to setJobsAreStored() or
+  /// setNoJobsStored().
+  std::function<void()> m_ReadWhetherJobsAreStored;
 };
 
 /// The runs of stored tasks at an owner of workers: executes the orders of the
@@ -70,13 +74,18 @@
   /// A run that this owner ordered has ended: reports it to the keeper.
   void taskEnded(const StoredTaskEnded &Ended);
   /// A worker reports the end of a run that this owner did not order. Returns
-  /// whether the worker must keep the end until it is acknowledged.
+  /// whether the worker must keep the end until it is acknowledged: by a keeper
+  /// or, if no jobs are stored, once a later read of the log has shown that.
   bool strayRunEnded(const std::string &Worker, const TaskRef &Task,
                      std::uint32_t Number, RunEnd EndKind);
 
-  /// Sets whether the system stores jobs. While that is unknown, the ends of
-  /// stray runs are kept.
-  void setJobsAreStored(bool Value);
+  /// Jobs are stored in this system, which never changes again.
+  void setJobsAreStored() { m_JobsAreStored = true; }
+  /// A read of the log that was sent at ReadAt has found that no jobs were
+  /// stored: acknowledges the ends of stray runs that were listed before. Later
+  /// ones may be those of jobs that have been stored since. Ignored if jobs
+  /// are known to be stored.
+  void setNoJobsStored(TimePoint ReadAt);
   std::optional<bool> jobsAreStored() const { return m_JobsAreStored; }
 
   std::size_t runs() const { return m_Runs.size(); }
@@ -93,6 +102,7 @@
     /// reuses its run numbers.
     std::set<std::string> m_OtherWorkers;
     std::optional<StoredTaskReport> m_End; ///< Reported, but not stored yet.
+    TimePoint m_ListedAt; ///< Of a stray run: when a worker last listed m_End.
     /// Shared with the lease of its worker; null for runs of earlier owners.
     std::shared_ptr<TimePoint> m_RunUntil;
     bool m_IsStopped = false; ///< For want of a confirmation.
@@ -100,7 +110,8 @@
   using RunKey = std::pair<TaskRef, std::uint32_t>;
 
   /// Returns whether the claim has the highest epoch seen of its partition, and
-  /// records the keeper if so.
+  /// records the keeper if so. That there is a keeper shows that jobs are
+  /// stored.
   bool acceptClaim(const std::string &Keeper, const LedgerClaim &Claim);
   void report(StoredTaskReport Report);
   /// Acknowledges the end of a run to all workers that list it.
