Node: Deny a job only after a read of the log that was sent after the call

"No jobs are stored", read up to 5 s before the call, was taken for "no such job".

Change: such a call waits for a read of the directory that is sent after it. A job that was accepted before the call has marked the log by then.

--- a/Source/Node/StoredRuns.cpp
+++ b/Source/Node/StoredRuns.cpp
@@ -220,14 +220,13 @@
       Added.m_OtherWorkers.insert(Worker);
     Added.m_End = Report;
     Added.m_ListedAt = EventLoop::now();
-    bool JobsAreStored = m_JobsAreStored.value_or(false);
     m_Log.info("stray_end_kept",
                {{"worker", Worker},
                 {"task", Task.str()},
                 {"run", Number},
                 {"how", storedRunEndName(Report.m_EndKind)},
-                {"waits_for", JobsAreStored ? "keeper" : "read of the log"}});
-    if (!JobsAreStored)
+                {"waits_for", m_JobsAreStored ? "keeper" : "read of the log"}});
+    if (!m_JobsAreStored)
       m_Effects.m_ReadWhetherJobsAreStored();
   }
   report(std::move(Report));
@@ -235,9 +234,8 @@
 }
 
 void StoredRuns::setNoJobsStored(TimePoint ReadAt) {
-  if (m_JobsAreStored.value_or(false))
+  if (m_JobsAreStored)
     return;
-  m_JobsAreStored = false;
   auto KeptRuns = std::exchange(m_Runs, {});
   for (auto &[Key, KeptRun] : KeptRuns) {
     if (KeptRun.m_ListedAt >= ReadAt) {
--- a/Tests/Node/JobServiceTest.cpp
+++ b/Tests/Node/JobServiceTest.cpp
@@ -23,7 +23,9 @@
     Done(m_KnowsJob ? CancelOutcome::Cancelled : m_OutcomeOfUnknownJob);
   }
   bool knows(const std::string &) const { return m_KnowsJob; }
-  std::optional<bool> storesJobs() const { return m_StoresJobs; }
+  void askWhetherJobsAreStored(double, const StoredJobsQueries::Done &Answer) {
+    Answer(m_StoresJobs);
+  }
   void call(LedgerCallKind Kind, const std::string &, const JobRequest &,
             double, LedgerCalls::Done Done) {
     m_LedgerCalls.push_back(Kind);
--- a/Tests/Platform/FirstStoredJobTest.cpp
+++ b/Tests/Platform/FirstStoredJobTest.cpp
@@ -163,6 +163,28 @@
   BOOST_TEST(startsOfDoneTasks() == 0U);
 }
 
+// Guards against 410 for a job that another node has accepted.
+BOOST_FIXTURE_TEST_CASE(IsNotDeniedByAnUninformedNode, UninformedNode) {
+  const std::string Path = Prefix + std::string("5c0e7a21d94b36f8");
+  auto answer = [&](std::size_t Node, const std::string &Method) {
+    auto Call = call(Node, Method, Path);
+    until([&] { return Call->m_Answer.has_value(); });
+    return Call;
+  };
+  BOOST_REQUIRE(until([&] {
+    auto Job = submitStoredSpec(0, "5c0e7a21d94b36f8", 1,
+                                {{"cpu", 1000}, {"ms", 60000}});
+    until([&] { return Job->m_Answer.has_value(); });
+    return Job->has(200);
+  }));
+  BOOST_TEST(answer(1, "GET")->has(503));
+  BOOST_TEST(answer(1, "DELETE")->has(503));
+  setCut(false);
+  store().delayReads(Directory, EventLoop::Duration(0));
+  BOOST_TEST(until([&] { return answer(1, "DELETE")->has(200); }));
+  BOOST_TEST(until([&] { return totalRunning() == 0; }));
+}
+
 // Guards against keepers that hear of stored jobs from a peer and start tasks
 // while a node that reads the log would still find that there are none.
 BOOST_FIXTURE_TEST_CASE(IsMarkedInTheLogBeforeItsFirstTaskStarts,
--- a/include/auburnhub/Node/JobService.h
+++ b/include/auburnhub/Node/JobService.h
@@ -7,6 +7,7 @@
 #include "auburnhub/Node/JobReply.h"
 #include "auburnhub/Node/JobRouter.h"
 #include "auburnhub/Node/LedgerCalls.h"
+#include "auburnhub/Node/StoredJobsQueries.h"
 
 #include <concepts>
 #include <cstdint>
@@ -23,12 +24,13 @@
                            const std::string &Id, std::uint64_t Call,
                            JobRouter::IsConnected IsConnected,
                            LedgerCalls::Done CallDone,
-                           std::function<void(CancelOutcome)> Cancelled) {
+                           std::function<void(CancelOutcome)> Cancelled,
+                           StoredJobsQueries::Done Asked) {
   { Node.submit(Job, JobDone, IsConnected) } -> std::same_as<std::uint64_t>;
   Node.callerDisconnected(Call);
   Node.cancel(Id, Cancelled);
   { Node.knows(Id) } -> std::same_as<bool>;
-  { Node.storesJobs() } -> std::same_as<std::optional<bool>>;
+  Node.askWhetherJobsAreStored(0.0, Asked);
   Node.call(LedgerCallKind::State, Id, Job, 0.0, CallDone);
   { Node.pending(Id) } -> std::same_as<std::uint64_t>;
 };
@@ -81,10 +83,14 @@
   static constexpr double RetryAfterMs = 1000;
 
   bool finishesBeforeStop(const JobRequest &Job) const;
-  /// Forwards a call about a job to the keeper of its partition, unless the job
-  /// runs at this node without being stored.
+  /// Forwards a call about a job that does not run at this node to the keeper
+  /// of its partition, if jobs are stored.
   void queryKeeper(LedgerCallKind Kind, const std::string &Job,
                    double TimeLeftMs, Done Answer);
+  /// Returns the reply about a job that is not known anywhere else to a caller.
+  /// JobsAreStored is false if there are no stored jobs, and empty if that is
+  /// not known.
+  static JobReply replyWithoutKeeper(std::optional<bool> JobsAreStored);
   void callLedger(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
                   double TimeLeftMs, Done Answer);
   /// Returns the reply to a caller if some nodes could not be asked for the
@@ -184,19 +190,30 @@
 void JobService<NodeType>::queryKeeper(LedgerCallKind Kind,
                                        const std::string &Job,
                                        double TimeLeftMs, Done Answer) {
-  std::optional<bool> JobsAreStored = m_Node.storesJobs();
-  if (JobsAreStored && *JobsAreStored) {
-    callLedger(Kind, Job, {}, TimeLeftMs, std::move(Answer));
-    return;
-  }
-  // A node that has just started does not know yet whether jobs are stored; it
-  // must not report a stored job as unknown.
+  ++m_OpenCalls;
+  m_Node.askWhetherJobsAreStored(
+      TimeLeftMs,
+      [this, Kind, Job, TimeLeftMs, AskedAt = EventLoop::now(),
+       Answer = std::move(Answer)](std::optional<bool> JobsAreStored) mutable {
+        --m_OpenCalls;
+        if (!JobsAreStored.value_or(false)) {
+          Answer(replyWithoutKeeper(JobsAreStored));
+          return;
+        }
+        double ElapsedMs = millisecondsBetween(AskedAt, EventLoop::now());
+        callLedger(Kind, Job, {}, TimeLeftMs - ElapsedMs, std::move(Answer));
+      });
+}
+
+template <JobNode NodeType>
+JobReply
+JobService<NodeType>::replyWithoutKeeper(std::optional<bool> JobsAreStored) {
   JobReply Reply;
   Reply.m_Kind =
       JobsAreStored ? JobReplyKind::NoSuchJob : JobReplyKind::Refused;
   Reply.m_Reason = JobsAreStored ? JobReason::None : JobReason::NotStored;
   Reply.m_RetryAfterMs = JobsAreStored ? 0 : RetryAfterMs;
-  Answer(Reply);
+  return Reply;
 }
 
 template <JobNode NodeType>
--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -16,6 +16,7 @@
 #include "auburnhub/Node/ShardHost.h"
 #include "auburnhub/Node/ShardMap.h"
 #include "auburnhub/Node/ShardProber.h"
+#include "auburnhub/Node/StoredJobsQueries.h"
 #include "auburnhub/Node/StoredRuns.h"
 
 #include <functional>
@@ -158,11 +159,11 @@
   /// Sets whether the log contained stored jobs when a read of it was sent, at
   /// ReadAt. Called after each such read.
   void setJobsAreStored(TimePoint ReadAt, bool Value);
-  /// Returns whether jobs are stored, or nothing until setJobsAreStored() was
-  /// called.
-  std::optional<bool> storesJobs() const {
-    return m_StoredRuns.jobsAreStored();
-  }
+  /// Answers whether jobs were stored when this was called, or later; nothing
+  /// if the log cannot be read in time. TimeLeftMs is the time until the call
+  /// times out.
+  void askWhetherJobsAreStored(double TimeLeftMs,
+                               StoredJobsQueries::Done Answer);
   /// Stores a job, cancels it or queries its state. TimeLeftMs is the time
   /// until the call times out.
   void call(LedgerCallKind Kind, const std::string &Id, JobRequest Job,
@@ -328,6 +329,7 @@
   ShardHost<Transport> m_Host;
   JobRouter m_Router;
   StoredRuns m_StoredRuns;
+  StoredJobsQueries m_StoredJobsQueries;
   LedgerCalls m_LedgerCalls;
   JobKeeper<Log> m_Keeper;
   std::map<std::string, WorkerSpec> m_Workers;
--- a/include/auburnhub/Node/NodeImpl.h
+++ b/include/auburnhub/Node/NodeImpl.h
@@ -69,6 +69,8 @@
                        const std::string &Job) { cancelAt(Owner, Call, Job); },
                 [this](const JobRequest &Job) { return couldEverRun(Job); }}),
       m_StoredRuns(m_Settings.m_LedgerPartitions, storedRunsEffects()),
+      m_StoredJobsQueries(Loop,
+                          [this] { m_Events.m_StoredJobsReadRequested(); }),
       m_LedgerCalls(Loop, m_Settings.m_LedgerPartitions,
                     CallNumbers::ofNewProcess(), Metrics,
                     [this](const std::string &To, const LedgerCall &Msg) {
@@ -496,14 +498,15 @@
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::abandonAllCalls() {
   m_Router.abandonAllCalls();
+  m_StoredJobsQueries.abandonAll();
   m_LedgerCalls.abandonAllCalls();
 }
 
 template <WorkerTransport Transport, JobLog Log>
 bool Node<Transport, Log>::drained() const {
-  return m_Router.calls() == 0 && m_LedgerCalls.calls() == 0 &&
-         m_Host.jobs() == 0 && m_Shards.ownClaims().empty() &&
-         m_Keeper.isDrained();
+  return m_Router.calls() == 0 && m_StoredJobsQueries.open() == 0 &&
+         m_LedgerCalls.calls() == 0 && m_Host.jobs() == 0 &&
+         m_Shards.ownClaims().empty() && m_Keeper.isDrained();
 }
 
 template <WorkerTransport Transport, JobLog Log>
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -143,16 +143,28 @@
 void Node<Transport, Log>::setJobsAreStored(TimePoint ReadAt, bool Value) {
   if (Value)
     onJobsAreStored();
-  else
+  else if (!m_StoredRuns.jobsAreStored()) {
     m_StoredRuns.setNoJobsStored(ReadAt);
+    m_StoredJobsQueries.setNoJobsStored(ReadAt);
+  }
 }
 
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onJobsAreStored() {
   m_StoredRuns.setJobsAreStored();
+  m_StoredJobsQueries.setJobsAreStored();
   m_Keeper.activate(/*IsPublished=*/true);
 }
 
+template <WorkerTransport Transport, JobLog Log>
+void Node<Transport, Log>::askWhetherJobsAreStored(
+    double TimeLeftMs, StoredJobsQueries::Done Answer) {
+  if (m_StoredRuns.jobsAreStored())
+    Answer(true);
+  else
+    m_StoredJobsQueries.ask(TimeLeftMs, std::move(Answer));
+}
+
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::call(LedgerCallKind Kind, const std::string &Id,
                                 JobRequest Job, double TimeLeftMs,
--- a/include/auburnhub/Node/StoredRuns.h
+++ b/include/auburnhub/Node/StoredRuns.h
@@ -86,7 +86,9 @@
   /// ones may be those of jobs that have been stored since. Ignored if jobs
   /// are known to be stored.
   void setNoJobsStored(TimePoint ReadAt);
-  std::optional<bool> jobsAreStored() const { return m_JobsAreStored; }
+  /// Returns whether jobs are known to be stored. If not, there may be some all
+  /// the same.
+  bool jobsAreStored() const { return m_JobsAreStored; }
 
   std::size_t runs() const { return m_Runs.size(); }
 
@@ -123,7 +125,7 @@
   Log m_Log{"stored-runs"};
   std::map<std::uint32_t, Partition> m_Partitions;
   std::map<RunKey, Run> m_Runs;
-  std::optional<bool> m_JobsAreStored;
+  bool m_JobsAreStored = false;
 };
 
 } // namespace auburnhub
