Ledger: Confirm the end of an unknown job once the log has accepted that

Callers: none have seen it; found by reading, on the paths related to the acknowledged ends of the first stored jobs.

Cause: a keeper that the store has replaced without notice acknowledged an end of a job that it does not know at once. The next keeper may have stored the job since, and would start the task again.

Change: the keeper appends that the records of the job are deleted and confirms the end when the log has accepted that under its epoch, which it refuses once there is a later keeper.

HasNoEndThatIsAcknowledged expected the acknowledgement at once and expects it after the append.

--- a/Source/Jobs/JobLedgerRuns.cpp
+++ b/Source/Jobs/JobLedgerRuns.cpp
@@ -79,6 +79,14 @@
   m_NextBatch.m_Ends.push_back(End);
 }
 
+void JobLedger::recordEndOfUnknownJob(const ReportedEnd &End) {
+  auto &Deleted = m_NextBatch.m_DeletedJobs;
+  if (std::find(Deleted.begin(), Deleted.end(), End.m_Task.m_Job) ==
+      Deleted.end())
+    Deleted.push_back(End.m_Task.m_Job);
+  m_NextBatch.m_Ends.push_back(End);
+}
+
 void JobLedger::handleDone(std::int64_t WallMs, LedgerJob &Job,
                            std::uint32_t TaskIndex, const ReportedEnd &End) {
   recordEnd(Job, End);
@@ -148,6 +156,11 @@
     return;
   }
   auto TaskIndex = Job ? taskIndexOf(*Job, Report.m_Task) : std::nullopt;
+  if (!Job && (End.m_IsLoss || Report.m_Outcome == StoredRunEnd::Done ||
+               Report.m_Outcome == StoredRunEnd::Failed)) {
+    recordEndOfUnknownJob(End);
+    return;
+  }
   if (!TaskIndex) {
     acknowledge(End);
     return;
--- a/Tests/Jobs/JobLedgerTest.cpp
+++ b/Tests/Jobs/JobLedgerTest.cpp
@@ -410,6 +410,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a keeper that has been replaced without notice: it must not
+// acknowledge ends of jobs that were stored since.
+BOOST_FIXTURE_TEST_SUITE(TheEndOfARunOfAJobThatDoesNotExist, LedgerFixture)
+
+BOOST_AUTO_TEST_CASE(IsAcknowledgedOnceTheLogHasAcceptedThat) {
+  StoredTask Task;
+  Task.m_Job = "unknown";
+  Task.m_Number = 1;
+  endRun(Task, StoredRunEnd::Done);
+  endRun(Task, StoredRunEnd::Done);
+  BOOST_TEST(!isAcknowledged(Task));
+  store();
+  BOOST_TEST(isAcknowledged(Task));
+  BOOST_TEST(m_Log.empty());
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotDeleteTheJobIfItIsSubmittedMeanwhile) {
+  StoredTask Task;
+  Task.m_Job = "a";
+  Task.m_Number = 1;
+  endRun(Task, StoredRunEnd::Failed);
+  submit(job("a", 1));
+  store();
+  BOOST_TEST(m_Log.contains("job/a"));
+  BOOST_TEST(m_Ledger->state("a").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(CountsWaitingJobs, StoredJobFixture)
 
 BOOST_AUTO_TEST_CASE(ThatHaveNotStarted) {
--- a/Tests/Node/LedgerPartitionTest.cpp
+++ b/Tests/Node/LedgerPartitionTest.cpp
@@ -368,9 +368,24 @@
   BOOST_TEST(m_AcknowledgedEnds == 0);
   m_MayStart = true;
   m_Partition.onReport("owner", Report);
+  BOOST_TEST(m_AcknowledgedEnds == 0);
+  answer(absl::OkStatus());
   BOOST_TEST(m_AcknowledgedEnds == 1);
 }
 
+// Guards against a keeper that was replaced without notice, and does not know
+// the jobs that were stored since.
+BOOST_AUTO_TEST_CASE(HasNoEndThatIsAcknowledgedIfTheLogHasALaterKeeper) {
+  answer(absl::OkStatus());
+  StoredTaskReport Report;
+  Report.m_Run = {{"unknown", 0, 0}, 1};
+  Report.m_EndKind = StoredRunEnd::Done;
+  m_Partition.onReport("owner", Report);
+  answer(absl::FailedPreconditionError("fenced"));
+  BOOST_TEST(m_AcknowledgedEnds == 0);
+  BOOST_TEST(!m_Partition.isServing());
+}
+
 BOOST_AUTO_TEST_CASE(IsNotStopped) {
   answer(absl::OkStatus());
   const LedgerRuns Unknown{{0, 3}, {{{"unknown", 0, 0}, 1}}, 0};
--- a/include/auburnhub/Jobs/JobLedger.h
+++ b/include/auburnhub/Jobs/JobLedger.h
@@ -375,6 +375,10 @@
                   const WorkerIncarnation &On);
   /// Adds the end and the job's progress to the next batch.
   void recordEnd(LedgerJob &Job, const ReportedEnd &End);
+  /// Acknowledges the end of a run of a job that does not exist once the log
+  /// has accepted that its records are deleted. A log that has a later keeper,
+  /// which may know the job, refuses that.
+  void recordEndOfUnknownJob(const ReportedEnd &End);
   void acknowledge(const ReportedEnd &End);
   void finish(LedgerJob &Job, StoredJobState State, std::int64_t WallMs);
   /// Orders the owner to stop the run of the task, if one is running.
