--- a/Tests/Platform/FirstStoredJobTest.cpp
+++ b/Tests/Platform/FirstStoredJobTest.cpp
@@ -166,7 +166,7 @@
 // Guards against 410 for a job that another node has accepted.
 BOOST_FIXTURE_TEST_CASE(IsNotDeniedByAnUninformedNode, UninformedNode) {
   const std::string Path = Prefix + std::string("5c0e7a21d94b36f8");
-  auto answer = [&](std::size_t Node, const std::string &Method) {
+  auto Ask = [&](std::size_t Node, const std::string &Method) {
     auto Call = call(Node, Method, Path);
     until([&] { return Call->m_Answer.has_value(); });
     return Call;
@@ -177,11 +177,11 @@
     until([&] { return Job->m_Answer.has_value(); });
     return Job->has(200);
   }));
-  BOOST_TEST(answer(1, "GET")->has(503));
-  BOOST_TEST(answer(1, "DELETE")->has(503));
+  BOOST_TEST(Ask(1, "GET")->has(503));
+  BOOST_TEST(Ask(1, "DELETE")->has(503));
   setCut(false);
   store().delayReads(Directory, EventLoop::Duration(0));
-  BOOST_TEST(until([&] { return answer(1, "DELETE")->has(200); }));
+  BOOST_TEST(until([&] { return Ask(1, "DELETE")->has(200); }));
   BOOST_TEST(until([&] { return totalRunning() == 0; }));
 }
 
