Node: Let others store the first job of a node that the store refuses

Cause: a node told the others nothing of stored jobs before it had marked the log, which it could not.

Change: a status carries both facts, that jobs are to be stored and that the log is marked. With the first alone the receiver marks the log before it joins, also where the sender is of an earlier version.

--- a/include/auburnhub/Node/Node.h
+++ b/include/auburnhub/Node/Node.h
@@ -248,8 +248,9 @@
   void handleMessage(const std::string &From, const StoredTaskReport &Msg);
   void handleMessage(const std::string &From, const LedgerRuns &Msg);
   void onLedgerStatus(const std::string &From, const NodeStatus &Status);
-  /// The log says that jobs are stored.
-  void onJobsAreStored();
+  /// Jobs are stored, or are about to be. IsPublished as for
+  /// JobKeeper::activate().
+  void onJobsAreStored(bool IsPublished);
   void onLedgersChanged();
 
   void accept(const JobRequester &From, const JobRequest &Job,
--- a/include/auburnhub/Node/NodeMessages.h
+++ b/include/auburnhub/Node/NodeMessages.h
@@ -117,8 +117,10 @@
   std::int64_t m_LargestFreeCpu = 0;
   /// Versions of the documents stored at the node, by name.
   std::map<std::string, std::uint64_t> m_Documents;
-  /// The log says that the system has, or once had, stored jobs.
+  /// The system has stored jobs, or is about to store the first one.
   bool m_StoresJobs = false;
+  /// The log says so already. Older versions do not state this.
+  bool m_IsLogMarked = false;
   std::vector<LedgerStatus> m_Ledgers;
   /// Queues of which many runs fail at this owner.
   QueueOutcomes m_FailingQueues;
@@ -136,6 +138,7 @@
     V("free_cpu", m_LargestFreeCpu);
     V("documents", m_Documents);
     V("stores_jobs", m_StoresJobs);
+    V("marked", m_IsLogMarked);
     V("ledgers", m_Ledgers);
     V("failing", m_FailingQueues);
     V("working", m_IsWorking);
--- a/include/auburnhub/Node/NodeOwnershipImpl.h
+++ b/include/auburnhub/Node/NodeOwnershipImpl.h
@@ -238,7 +238,8 @@
   Result.m_LargestFreeCpu = m_Host.largestFreeCpu();
   Result.m_FailingQueues = m_Host.failingQueues();
   Result.m_Documents = m_Documents.versions();
-  Result.m_StoresJobs = m_Keeper.isPublished();
+  Result.m_StoresJobs = m_StoredRuns.jobsAreStored();
+  Result.m_IsLogMarked = m_Keeper.isPublished();
   Result.m_Ledgers = m_Keeper.statuses();
   Result.m_IsWorking = isWorking();
   Result.m_ClockMs = millisecondsBetween(TimePoint(), EventLoop::now());
--- a/include/auburnhub/Node/NodeStoredJobsImpl.h
+++ b/include/auburnhub/Node/NodeStoredJobsImpl.h
@@ -142,7 +142,7 @@
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::setJobsAreStored(TimePoint ReadAt, bool Value) {
   if (Value)
-    onJobsAreStored();
+    onJobsAreStored(/*IsPublished=*/true);
   else if (!m_StoredRuns.jobsAreStored()) {
     m_StoredRuns.setNoJobsStored(ReadAt);
     m_StoredJobsQueries.setNoJobsStored(ReadAt);
@@ -150,10 +150,10 @@
 }
 
 template <WorkerTransport Transport, JobLog Log>
-void Node<Transport, Log>::onJobsAreStored() {
+void Node<Transport, Log>::onJobsAreStored(bool IsPublished) {
   m_StoredRuns.setJobsAreStored();
   m_StoredJobsQueries.setJobsAreStored();
-  m_Keeper.activate(/*IsPublished=*/true);
+  m_Keeper.activate(IsPublished);
 }
 
 template <WorkerTransport Transport, JobLog Log>
@@ -169,10 +169,8 @@
 void Node<Transport, Log>::call(LedgerCallKind Kind, const std::string &Id,
                                 JobRequest Job, double TimeLeftMs,
                                 LedgerCalls::Done Done) {
-  if (Kind == LedgerCallKind::Submit && !m_Keeper.isActive()) {
-    m_StoredRuns.setJobsAreStored();
-    m_Keeper.activate(/*IsPublished=*/false);
-  }
+  if (Kind == LedgerCallKind::Submit && !m_Keeper.isActive())
+    onJobsAreStored(/*IsPublished=*/false);
   m_LedgerCalls.call(Kind, Id, std::move(Job), TimeLeftMs, std::move(Done));
 }
 
@@ -184,8 +182,9 @@
 template <WorkerTransport Transport, JobLog Log>
 void Node<Transport, Log>::onLedgerStatus(const std::string &From,
                                           const NodeStatus &Status) {
+  // A node that cannot mark the log may still have its jobs stored by others.
   if (Status.m_StoresJobs)
-    onJobsAreStored();
+    onJobsAreStored(Status.m_IsLogMarked);
   m_LedgerCalls.updateLedgers(From, Status.m_Ledgers);
 }
 
